--- /dev/null
+++ b/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin is described in docs/design.md.
+package admin
--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission is described in docs/design.md.
+package admission
--- /dev/null
+++ b/configstore/doc.go
@@ -0,0 +1,2 @@
+// Package configstore is described in docs/design.md.
+package configstore
--- /dev/null
+++ b/crashguard/doc.go
@@ -0,0 +1,2 @@
+// Package crashguard is described in docs/design.md.
+package crashguard
--- /dev/null
+++ b/detection/doc.go
@@ -0,0 +1,2 @@
+// Package detection is described in docs/design.md.
+package detection
--- /dev/null
+++ b/ejection/doc.go
@@ -0,0 +1,2 @@
+// Package ejection is described in docs/design.md.
+package ejection
--- /dev/null
+++ b/freshness/doc.go
@@ -0,0 +1,2 @@
+// Package freshness is described in docs/design.md.
+package freshness
--- /dev/null
+++ b/idempotency/doc.go
@@ -0,0 +1,2 @@
+// Package idempotency is described in docs/design.md.
+package idempotency
--- /dev/null
+++ b/measure/doc.go
@@ -0,0 +1,2 @@
+// Package measure is described in docs/design.md.
+package measure
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,2 @@
+// Package node is described in docs/design.md.
+package node
--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement is described in docs/design.md.
+package placement
--- /dev/null
+++ b/ratelimit/doc.go
@@ -0,0 +1,2 @@
+// Package ratelimit is described in docs/design.md.
+package ratelimit
--- /dev/null
+++ b/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry is described in docs/design.md.
+package retry
--- /dev/null
+++ b/rules/doc.go
@@ -0,0 +1,2 @@
+// Package rules is described in docs/design.md.
+package rules
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings is described in docs/design.md.
+package settings
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is described in docs/design.md.
+package standin
--- /dev/null
+++ b/verdict/verdict_test.go
@@ -0,0 +1,42 @@
+package verdict
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an unknown or missing verdict being read as "not run".
+func TestUnknownVerdictPromisesLeast(t *testing.T) {
+	var zero Verdict
+	require.Equal(t, MayHaveRun, zero)
+	require.Equal(t, MayHaveRun, Parse("NOT-RUN"))
+	require.Equal(t, MayHaveRun, From(errors.New("x")).Verdict)
+	for _, v := range []Verdict{NotRun, MayHaveRun, Completed} {
+		require.Equal(t, v, Parse(v.String()))
+	}
+}
+
+// Guards against a wrapped failure losing its verdict on the way to the caller.
+func TestFromKeepsWrappedVerdict(t *testing.T) {
+	err := errors.Wrap(Refuse("queue-full", "queue is full", time.Second), "offer")
+	require.Equal(t, NotRun, From(err).Verdict)
+}
+
+// Guards against a Retry-After that is rounded down to a time at which the
+// request would be refused again.
+func TestProblemBody(t *testing.T) {
+	rec := httptest.NewRecorder()
+	Refuse("rate-limit", "team is over its rate", 1200*time.Millisecond).Write(rec, "r1")
+	require.Equal(t, 503, rec.Code)
+	require.Equal(t, "2", rec.Header().Get("Retry-After"))
+	require.Equal(t, "not-run", rec.Header().Get(Header))
+	var p Problem
+	require.NoError(t, json.Unmarshal(rec.Body.Bytes(), &p))
+	require.Equal(t, "urn:trefoildock:problem:rate-limit", p.Type)
+	require.Equal(t, "r1", p.RequestID)
+}
