--- /dev/null
+++ b/rules/router.go
@@ -0,0 +1,166 @@
+package rules
+
+import (
+	"math/bits"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Router finds the route of a request. It shares the routes of its configuration
+// and adds only a hash table of 4-byte indexes. It is safe for concurrent use.
+//
+// Among the routes that match host, path and method of a request, a route with
+// the host wins over one without host, then an exact path over a prefix and a
+// longer prefix over a shorter one, then the method of the request over ANY. A GET route also serves
+// HEAD. A prefix "/a/*" matches "/a/" and every path below it, but not "/a".
+type Router struct {
+	routes []Route
+	// slots is an open-addressed table that maps host and path to 1 + the index
+	// of the first route with them; the routes of one host and path are adjacent.
+	slots []uint32
+	// longestExact and longestPrefix bound the bytes of a path that are hashed.
+	longestExact  int
+	longestPrefix int
+	hasHosts      bool
+}
+
+// NewRouter returns the router of a configuration.
+func NewRouter(c *Config) *Router {
+	r := &Router{routes: sortedRoutes(c.Routes)}
+	groups := 0
+	for i := range r.routes {
+		if r.startsGroup(i) {
+			groups++
+		}
+	}
+	// At most half of the slots are in use, which keeps probe sequences short.
+	r.slots = make([]uint32, 1<<bits.Len(uint(2*groups)))
+	for i := range r.routes {
+		if r.startsGroup(i) {
+			r.insert(i)
+		}
+	}
+	return r
+}
+
+// startsGroup reports whether the route is the first one of its host and path.
+func (r *Router) startsGroup(i int) bool {
+	return i == 0 || r.routes[i].Host != r.routes[i-1].Host || r.routes[i].Path != r.routes[i-1].Path
+}
+
+func (r *Router) insert(i int) {
+	route := &r.routes[i]
+	if route.IsPrefix() {
+		r.longestPrefix = max(r.longestPrefix, len(route.pathPrefix()))
+	} else {
+		r.longestExact = max(r.longestExact, len(route.Path))
+	}
+	r.hasHosts = r.hasHosts || route.Host != ""
+	mask := uint64(len(r.slots) - 1)
+	slot := (hashHost(route.Host) ^ xxhash.Sum64String(route.pathPrefix())) & mask
+	for r.slots[slot] != 0 {
+		slot = (slot + 1) & mask
+	}
+	r.slots[slot] = uint32(i + 1)
+}
+
+// hashHost returns 0 for routes without host.
+func hashHost(host string) uint64 {
+	if host == "" {
+		return 0
+	}
+	return xxhash.Sum64String(host)
+}
+
+// Match returns the route of a request. The host may carry a port; the path must
+// be decoded. A path with empty or dot segments matches no route, because a
+// backend server might resolve it to a path that another route protects.
+func (r *Router) Match(method, host, path string) (*Route, bool) {
+	if ambiguousPath(path) {
+		return nil, false
+	}
+	if r.hasHosts {
+		if host = normalHost(host); host != "" {
+			if route := r.matchHost(method, host, path); route != nil {
+				return route, true
+			}
+		}
+	}
+	route := r.matchHost(method, "", path)
+	return route, route != nil
+}
+
+// matchHost finds the best route with exactly this host.
+func (r *Router) matchHost(method, host, path string) *Route {
+	seed := hashHost(host)
+	if len(path) <= r.longestExact {
+		if route := r.find(seed^xxhash.Sum64String(path), method, host, path, false); route != nil {
+			return route
+		}
+	}
+	return r.matchPrefix(seed, method, host, path)
+}
+
+// matchPrefix looks up each prefix of the path that ends in '/', hashing every
+// byte once, and returns the match of the longest one.
+func (r *Router) matchPrefix(seed uint64, method, host, path string) *Route {
+	var best *Route
+	var digest xxhash.Digest
+	digest.Reset()
+	limit := min(len(path), r.longestPrefix)
+	for start := 0; start < limit; {
+		end := strings.IndexByte(path[start:limit], '/')
+		if end < 0 {
+			break
+		}
+		end += start + 1
+		_, _ = digest.WriteString(path[start:end]) // never fails
+		if route := r.find(seed^digest.Sum64(), method, host, path[:end], true); route != nil {
+			best = route
+		}
+		start = end
+	}
+	return best
+}
+
+// find returns the route for the method among those with the host and path.
+func (r *Router) find(hash uint64, method, host, path string, prefix bool) *Route {
+	mask := uint64(len(r.slots) - 1)
+	for slot := hash & mask; r.slots[slot] != 0; slot = (slot + 1) & mask {
+		first := int(r.slots[slot] - 1)
+		route := &r.routes[first]
+		if route.IsPrefix() == prefix && route.Host == host && route.pathPrefix() == path {
+			return r.selectMethod(first, method)
+		}
+	}
+	return nil
+}
+
+// selectMethod chooses among the routes that share host and path with the first.
+func (r *Router) selectMethod(first int, method string) *Route {
+	var anyMethod, get *Route
+	for i := first; i < len(r.routes) && (i == first || !r.startsGroup(i)); i++ {
+		route := &r.routes[i]
+		switch route.Method {
+		case method:
+			return route
+		case methodGet:
+			get = route
+		case AnyMethod:
+			anyMethod = route
+		}
+	}
+	if method == methodHead && get != nil {
+		return get
+	}
+	return anyMethod
+}
+
+// normalHost returns the host in lower case without port and trailing dot.
+func normalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
