Reduce the memory and time of large rules files

Every route kept its whole line in memory, and sorting moved whole routes. The parser now reads in pieces, stores only the texts that rules use, each recent text once, and sorts indexes.

--- a/rules/build.go
+++ b/rules/build.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -50,21 +51,34 @@
 
 // collectRoutes returns the routes in order and reports duplicates.
 func (p *parser) collectRoutes() []Route {
-	slices.SortStableFunc(p.routes, func(a, b located[Route]) int { return compareRoutes(&a.rule, &b.rule) })
-	routes := make([]Route, 0, len(p.routes))
-	first := 0
-	for i := range p.routes {
-		at := &p.routes[i]
-		if i > 0 && compareRoutes(&p.routes[first].rule, &at.rule) == 0 {
-			failDuplicate(p, at, "route", at.rule.Method+" "+at.rule.Host+at.rule.Path, p.routes[first].line)
+	order := p.routeOrder()
+	routes := make([]Route, 0, len(order))
+	var first *located[Route]
+	for _, index := range order {
+		at := &p.routes[index]
+		if first != nil && compareRoutes(&first.rule, &at.rule) == 0 {
+			failDuplicate(p, at, "route", at.rule.Method+" "+at.rule.Host+at.rule.Path, first.line)
 			continue
 		}
-		first = i
+		first = at
 		routes = append(routes, at.rule)
 	}
 	return routes
 }
 
+// routeOrder returns the indexes of the parsed routes by identity and line.
+// Sorting indexes avoids moving the routes, which are large.
+func (p *parser) routeOrder() []int32 {
+	order := make([]int32, len(p.routes))
+	for i := range order {
+		order[i] = int32(i)
+	}
+	slices.SortFunc(order, func(a, b int32) int {
+		return cmp.Or(compareRoutes(&p.routes[a].rule, &p.routes[b].rule), cmp.Compare(a, b))
+	})
+	return order
+}
+
 func failDuplicate[T any](p *parser, at *located[T], kind, id string, firstLine int32) {
 	p.failAt(at.line, at.column, id, fmt.Sprintf("no second rule for this %s (first on line %d)", kind, firstLine))
 }
--- a/rules/config.go
+++ b/rules/config.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"cmp"
 	"strings"
 	"time"
 )
@@ -188,9 +187,11 @@
 
 // compareRoutes orders routes by host, path and method, which identify a route.
 func compareRoutes(a, b *Route) int {
-	return cmp.Or(
-		cmp.Compare(a.Host, b.Host),
-		cmp.Compare(a.Path, b.Path),
-		cmp.Compare(a.Method, b.Method),
-	)
+	if order := strings.Compare(a.Host, b.Host); order != 0 {
+		return order
+	}
+	if order := strings.Compare(a.Path, b.Path); order != 0 {
+		return order
+	}
+	return strings.Compare(a.Method, b.Method)
 }
--- a/rules/delta.go
+++ b/rules/delta.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sort"
 )
 
 // Delta is the difference between two configurations as canonical lines. A
@@ -163,22 +164,33 @@
 	drop := removed.routesToDrop(routes)
 	insert := added.collectRoutes()
 	next := make([]Route, 0, len(routes)-len(drop)+len(insert))
-	for i := range routes {
-		if len(drop) > 0 && drop[0] == i {
+	copied := 0 // routes before this index were copied or dropped
+	for len(drop) > 0 || len(insert) > 0 {
+		at, present := len(routes), false
+		if len(insert) > 0 {
+			at, present = findRoute(routes, &insert[0])
+		}
+		if len(drop) > 0 && drop[0] <= at {
+			next = append(next, routes[copied:drop[0]]...)
+			copied = drop[0] + 1
 			drop = drop[1:]
 			continue
 		}
-		for len(insert) > 0 && compareRoutes(&insert[0], &routes[i]) < 0 {
-			next = append(next, insert[0])
-			insert = insert[1:]
-		}
-		if len(insert) > 0 && compareRoutes(&insert[0], &routes[i]) == 0 {
+		if present && at >= copied {
 			added.failPresentRoute(&insert[0])
-			insert = insert[1:]
 		}
-		next = append(next, routes[i])
+		next = append(next, routes[copied:max(at, copied)]...)
+		next = append(next, insert[0])
+		copied = max(at, copied)
+		insert = insert[1:]
 	}
-	return append(next, insert...)
+	return append(next, routes[copied:]...)
+}
+
+// findRoute returns the index of a route in a sorted list, or where it belongs.
+func findRoute(routes []Route, target *Route) (index int, found bool) {
+	index = sort.Search(len(routes), func(i int) bool { return compareRoutes(&routes[i], target) >= 0 })
+	return index, index < len(routes) && compareRoutes(&routes[index], target) == 0
 }
 
 // routesToDrop returns the sorted indexes of the removed routes and reports
@@ -188,9 +200,7 @@
 	seen := make(map[int]bool, len(p.routes))
 	for i := range p.routes {
 		at := &p.routes[i]
-		index, found := slices.BinarySearchFunc(routes, &at.rule, func(r Route, target *Route) int {
-			return compareRoutes(&r, target)
-		})
+		index, found := findRoute(routes, &at.rule)
 		if !found || routes[index] != at.rule || seen[index] {
 			p.failAt(at.line, at.column, at.rule.Path, expectedPresent)
 			continue
--- a/rules/format.go
+++ b/rules/format.go
@@ -35,11 +35,12 @@
 
 // sortedRoutes returns the routes in order and copies them only if they are not sorted.
 func sortedRoutes(routes []Route) []Route {
-	byIdentity := func(a, b Route) int { return compareRoutes(&a, &b) }
-	if slices.IsSortedFunc(routes, byIdentity) {
-		return routes
+	for i := 1; i < len(routes); i++ {
+		if compareRoutes(&routes[i-1], &routes[i]) > 0 {
+			return slices.SortedFunc(slices.Values(routes), func(a, b Route) int { return compareRoutes(&a, &b) })
+		}
 	}
-	return slices.SortedFunc(slices.Values(routes), byIdentity)
+	return routes
 }
 
 func sortedKeys(keys map[KeyDigest]Key) []Key {
--- a/rules/parse.go
+++ b/rules/parse.go
@@ -29,6 +29,7 @@
 	text  string // current line
 	words []word // words of the current line, reused
 	errs  ErrorList
+	store *textStore // nil if rules may share the memory of the lines
 
 	services       []located[Service]
 	routes         []located[Route]
@@ -41,12 +42,10 @@
 // Parse reads a rules file. The error is an ErrorList with every fault of the
 // file, or the error of the reader.
 func Parse(fileName string, src io.Reader) (*Config, error) {
-	var text strings.Builder
-	if _, err := io.Copy(&text, src); err != nil {
+	p := &parser{file: fileName, store: &textStore{}}
+	if err := p.read(src); err != nil {
 		return nil, errors.Wrapf(err, "read rules %s", fileName)
 	}
-	p := &parser{file: fileName}
-	p.parseText(text.String())
 	config := p.build()
 	if len(p.errs) > 0 {
 		sortErrors(p.errs)
@@ -144,9 +143,17 @@
 	}
 	if text = strings.TrimSpace(text); len(text) == len(requester)+len(": ")+len(reason) &&
 		text[len(requester):len(requester)+2] == ": " {
-		return Comment(text) // shares the memory of the line
+		return Comment(p.keep(text))
 	}
-	return Comment(requester + ": " + reason)
+	return Comment(p.keep(requester + ": " + reason))
+}
+
+// keep returns the text for use in a rule.
+func (p *parser) keep(text string) string {
+	if p.store == nil {
+		return text
+	}
+	return p.store.keep(text)
 }
 
 // end returns the place behind the last word of the rule.
--- a/rules/parse_rules.go
+++ b/rules/parse_rules.go
@@ -48,14 +48,14 @@
 	}
 	var values [2]word
 	p.attributes(words[1:], serviceAttributes, values[:])
-	service := Service{Name: name.text, Comment: comment}
+	service := Service{Name: p.keep(name.text), Comment: comment}
 	if floor := values[0]; p.required(floor, expectedFloor) {
 		if service.Floor, ok = parseCount(floor.text, MaxFloor); !ok {
 			p.fail(floor, expectedFloor)
 		}
 	}
 	if probe := values[1]; p.required(probe, expectedProbe) {
-		service.ProbePath = probe.text
+		service.ProbePath = p.keep(probe.text)
 		if !validPath(probe.text) {
 			p.fail(probe, expectedPath)
 		}
@@ -80,16 +80,16 @@
 	}
 	var values [5]word
 	p.attributes(words[2:], routeAttributes, values[:])
-	route := Route{Method: method.text, Path: path.text, Timeout: DefaultTimeout, Comment: comment}
+	route := Route{Method: p.keep(method.text), Path: p.keep(path.text), Timeout: DefaultTimeout, Comment: comment}
 	if host := values[0]; host.text != "" {
-		route.Host = strings.ToLower(host.text)
+		route.Host = p.keep(strings.ToLower(host.text))
 		if !validHost(route.Host) {
 			p.fail(host, expectedHost)
 		}
 	}
 	service := values[1]
 	if p.required(service, expectedService) {
-		route.Service = service.text
+		route.Service = p.keep(service.text)
 		if !ValidName(service.text) {
 			p.fail(service, expectedName)
 		}
@@ -139,7 +139,7 @@
 	}
 	var values [3]word
 	p.attributes(words[1:], teamAttributes, values[:])
-	team := Team{Name: name.text, Weight: DefaultWeight, Comment: comment}
+	team := Team{Name: p.keep(name.text), Weight: DefaultWeight, Comment: comment}
 	if rate := values[0]; p.required(rate, expectedRate) {
 		if team.Rate, ok = ParseRate(rate.text); !ok {
 			p.fail(rate, expectedRate)
@@ -167,7 +167,7 @@
 	if !ok {
 		return
 	}
-	key := Key{Team: team.text, Comment: comment}
+	key := Key{Team: p.keep(team.text), Comment: comment}
 	p.expectEnd(words[2:])
 	if key.Digest, ok = ParseKeyDigest(digest.text); !ok {
 		p.fail(word{mask(digest.text), digest.offset}, expectedDigest)
@@ -188,14 +188,14 @@
 func (p *parser) parseZone(words []word, comment Comment) {
 	name, out, ok := p.state(words)
 	if ok {
-		p.zones = append(p.zones, locate(p, Zone{Name: name.text, Out: out, Comment: comment}, name, name))
+		p.zones = append(p.zones, locate(p, Zone{Name: p.keep(name.text), Out: out, Comment: comment}, name, name))
 	}
 }
 
 func (p *parser) parseBackendServer(words []word, comment Comment) {
 	name, out, ok := p.state(words)
 	if ok {
-		server := BackendServer{Name: name.text, Out: out, Comment: comment}
+		server := BackendServer{Name: p.keep(name.text), Out: out, Comment: comment}
 		p.backendServers = append(p.backendServers, locate(p, server, name, name))
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1,8 +1,10 @@
 package rules
 
 import (
+	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -85,6 +87,23 @@
 	}
 }
 
+// Guards against lines that are lost or joined where reads end.
+func TestParseReadsInPieces(t *testing.T) {
+	want := mustParse(t, sampleRules)
+	got, err := Parse("f", iotest.OneByteReader(strings.NewReader(sampleRules)))
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+
+	text := "zone a # A: b\nzone a out # A: " + strings.Repeat("b", 3*readSize) + "\nzone b"
+	_, err = Parse("f", strings.NewReader(text))
+	var list ErrorList
+	require.ErrorAs(t, err, &list)
+	require.Equal(t, []int{1, 2, 3, 3}, []int{list[0].Line, list[1].Line, list[2].Line, list[3].Line})
+
+	_, err = Parse("f", iotest.ErrReader(io.ErrUnexpectedEOF))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // Guards against accepting a rate that differs from what the operator wrote.
 func TestParseRate(t *testing.T) {
 	for text, want := range map[string]Rate{
