Bind node names to certificates and test the links

A node is reached by IP address, so the certificate's common name is compared with the name of the Hello exchange on both ends.

--- a/link/link.go
+++ b/link/link.go
@@ -66,16 +66,20 @@
 	return &Stream{conn: s, r: wire.NewReader(s)}
 }
 
-// Send writes one envelope. It is safe for concurrent use.
-func (s *Stream) Send(e *wire.Envelope) error {
+// Send writes the envelopes in one write, so that small messages share a packet.
+// It is safe for concurrent use.
+func (s *Stream) Send(es ...*wire.Envelope) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	buf, err := wire.Append(s.buf[:0], e)
-	if err != nil {
-		return err
+	buf := s.buf[:0]
+	for _, e := range es {
+		var err error
+		if buf, err = wire.Append(buf, e); err != nil {
+			return err
+		}
 	}
 	s.buf = buf
-	_, err = s.conn.Write(buf)
+	_, err := s.conn.Write(buf)
 	return err
 }
 
@@ -85,8 +89,12 @@
 // SetDeadline bounds all following reads and writes; the zero time removes the bound.
 func (s *Stream) SetDeadline(t time.Time) error { return s.conn.SetDeadline(t) }
 
-// Close closes this side of the stream. The peer then reads io.EOF.
-func (s *Stream) Close() error { return s.conn.Close() }
+// Close closes this side of the stream and unblocks a pending Recv. The peer
+// then reads io.EOF.
+func (s *Stream) Close() error {
+	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+	return s.conn.Close()
+}
 
 // sessionConfig returns the yamux settings shared by both ends.
 func sessionConfig() *yamux.Config {
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,167 @@
+package link
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/wire"
+)
+
+// echo answers each ping call with the name of the peer.
+type echo struct{}
+
+func (echo) Verify(Peer) error { return nil }
+
+func (echo) ServeStream(p Peer, s *Stream, first *wire.Envelope) error {
+	if first.GetCall().GetPing() == nil {
+		return errors.New("not a ping")
+	}
+	return s.Send(answer(&wire.Answer{Body: &wire.Answer_Ping{Ping: &wire.PingAnswer{Incarnation: p.Node}}}))
+}
+
+func serve(t *testing.T, s *Server) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() { _ = s.Serve(ln); close(done) }()
+	t.Cleanup(func() { ln.Close(); <-done; s.Close() })
+	return ln.Addr().String()
+}
+
+func ping(p *Pool, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	a, err := p.Call(ctx, address, &wire.Call{Body: &wire.Call_Ping{Ping: &wire.Ping{}}})
+	return a.GetPing().GetIncarnation(), err
+}
+
+func newServer() *Server {
+	return &Server{Identity: Identity{Node: "b", Incarnation: "1", Cluster: "c"}, Handler: echo{}}
+}
+
+func newPool(t *testing.T, node, cluster string) *Pool {
+	p := &Pool{Identity: Identity{Node: node, Incarnation: "1", Cluster: cluster}}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against a session that stays in the pool after it was closed.
+func TestPoolDialsAnewAfterLoss(t *testing.T) {
+	address := serve(t, newServer())
+	p := newPool(t, "a", "c")
+	name, err := ping(p, address)
+	require.NoError(t, err)
+	require.Equal(t, "a", name)
+	p.sessions[address].mux.Close()
+	_, err = ping(p, address)
+	require.NoError(t, err)
+}
+
+// Guards against nodes of two deployments that exchange messages.
+func TestOtherClusterIsRefused(t *testing.T) {
+	address := serve(t, newServer())
+	_, err := ping(newPool(t, "a", "other"), address)
+	require.True(t, errors.Is(err, ErrNotSent))
+}
+
+// Guards against a malformed message that leaves the link open.
+func TestProtocolErrorClosesLink(t *testing.T) {
+	refused := make(chan error, 16)
+	s := newServer()
+	s.OnError = func(err error) { refused <- err }
+	address := serve(t, s)
+	p := newPool(t, "a", "c")
+	_, err := p.Call(t.Context(), address, &wire.Call{Body: &wire.Call_Take{Take: &wire.Take{}}})
+	require.Error(t, err)
+	require.ErrorContains(t, <-refused, "not a ping")
+	sess := p.sessions[address]
+	<-sess.mux.CloseChan()
+	require.False(t, p.Connected(address))
+}
+
+// Guards against a node that uses the certificate of another node.
+func TestCertificateMustNameTheNode(t *testing.T) {
+	ca := newAuthority(t)
+	server, _ := TLSConfigs(ca.pool, ca.issue(t, "b"))
+	s := newServer()
+	s.TLS = server
+	address := serve(t, s)
+	connect := func(certName, node, address string) error {
+		p := newPool(t, node, "c")
+		_, p.TLS = TLSConfigs(ca.pool, ca.issue(t, certName))
+		_, err := ping(p, address)
+		return err
+	}
+	require.NoError(t, connect("a", "a", address))
+	require.ErrorContains(t, connect("a", "x", address), "certificate")
+	_, err := ping(newPool(t, "a", "c"), address)
+	require.Error(t, err, "a plain client must not reach a TLS server")
+
+	impostor := newServer()
+	impostor.TLS, _ = TLSConfigs(ca.pool, ca.issue(t, "other"))
+	require.ErrorContains(t, connect("a", "a", serve(t, impostor)), "certificate")
+	foreign := newServer()
+	foreign.TLS, _ = TLSConfigs(ca.pool, newAuthority(t).issue(t, "b"))
+	require.ErrorContains(t, connect("a", "a", serve(t, foreign)), "verify peer certificate")
+}
+
+// Guards against plain text on a network.
+func TestPlainTextOnlyOnLoopback(t *testing.T) {
+	require.Error(t, checkPlain(fakeConn{&net.TCPAddr{IP: net.IPv4(192, 0, 2, 1)}}, nil))
+	require.NoError(t, checkPlain(fakeConn{&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}, nil))
+}
+
+type fakeConn struct{ remote net.Addr }
+
+func (c fakeConn) RemoteAddr() net.Addr           { return c.remote }
+func (fakeConn) LocalAddr() net.Addr              { return nil }
+func (fakeConn) Read([]byte) (int, error)         { return 0, net.ErrClosed }
+func (fakeConn) Write([]byte) (int, error)        { return 0, net.ErrClosed }
+func (fakeConn) Close() error                     { return nil }
+func (fakeConn) SetDeadline(time.Time) error      { return nil }
+func (fakeConn) SetReadDeadline(time.Time) error  { return nil }
+func (fakeConn) SetWriteDeadline(time.Time) error { return nil }
+
+// authority is a certificate authority for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pool *x509.CertPool
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true, NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return &authority{cert: cert, key: key, pool: pool}
+}
+
+func (a *authority) issue(t *testing.T, name string) tls.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -212,6 +212,9 @@
 		return nil, Peer{}, err
 	}
 	peer, err := p.sayHello(ctx, mux)
+	if err == nil {
+		err = checkCertificate(conn, peer)
+	}
 	if err != nil {
 		mux.Close()
 		return nil, Peer{}, errors.Wrapf(err, "hello to %s", address)
@@ -219,6 +222,18 @@
 	return mux, peer, nil
 }
 
+// checkCertificate refuses a peer that uses the certificate of another node.
+func checkCertificate(conn net.Conn, peer Peer) error {
+	tc, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	if name := peerName(tc); name != peer.Node {
+		return errors.Newf("certificate of %q used by node %q", name, peer.Node)
+	}
+	return nil
+}
+
 func (p *Pool) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
 	if p.TLS == nil {
 		return conn, nil
--- /dev/null
+++ b/node/dispatch.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+const (
+	// backendDialTimeout bounds a new connection to a backend server, which
+	// takes about 1 ms on loopback.
+	backendDialTimeout = time.Second
+	// idleConnTimeout bounds how long an idle backend connection is kept.
+	idleConnTimeout = 30 * time.Second
+	// freshConnTimeout bounds it for requests that are not idempotent: they use
+	// a connection that was alive a moment ago, or a new one.
+	freshConnTimeout = time.Second
+	// maxResponseHeaderBytes bounds the header of a backend server's answer.
+	maxResponseHeaderBytes = 64 << 10
+)
+
+// dispatcher sends requests to one backend server.
+type dispatcher struct {
+	address string
+	// idempotent and once differ in how long an idle connection is trusted.
+	idempotent, once *http.Transport
+	// echoesID is set once the backend server has repeated a request id; from
+	// then on an answer without one counts as wrong.
+	echoesID atomic.Bool
+}
+
+func newDispatcher(address string, connections int) *dispatcher {
+	return &dispatcher{
+		address:    address,
+		idempotent: newTransport(connections, idleConnTimeout),
+		once:       newTransport(connections, freshConnTimeout),
+	}
+}
+
+func newTransport(connections int, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:            dialer(backendDialTimeout),
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		WriteBufferSize:        4 << 10,
+		ReadBufferSize:         4 << 10,
+	}
+}
+
+// close drops all idle connections.
+func (d *dispatcher) close() {
+	d.idempotent.CloseIdleConnections()
+	d.once.CloseIdleConnections()
+}
+
+// roundTrip sends the request and returns the head of the answer. Its error is
+// always a *verdict.Error; NotRun is claimed only if no connection was obtained
+// or the backend server refused before execution.
+func (d *dispatcher) roundTrip(ctx context.Context, o *wire.Offer, body io.Reader) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := d.newRequest(ctx, o, body)
+	if err != nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: "bad-request", Detail: "request cannot be forwarded", Cause: err}
+	}
+	transport := d.once
+	if o.GetIdempotent() {
+		transport = d.idempotent
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, d.failure(ctx, err, connected.Load())
+	}
+	if err := d.check(resp, o); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+func (d *dispatcher) newRequest(ctx context.Context, o *wire.Offer, body io.Reader) (*http.Request, error) {
+	target, err := url.ParseRequestURI(o.GetTarget())
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", d.address
+	req := (&http.Request{
+		Method: o.GetMethod(), URL: target, Host: o.GetHost(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, len(o.GetFields())+4),
+	}).WithContext(ctx)
+	setFields(req.Header, o.GetFields())
+	if req.Header.Get("User-Agent") == "" {
+		req.Header["User-Agent"] = nil // Keeps net/http from adding its own.
+	}
+	req.Header.Set(verdict.RequestIDHeader, o.GetRequestId())
+	if o.GetTeam() != "" {
+		req.Header.Set(verdict.TeamHeader, o.GetTeam())
+	}
+	if o.GetIdempotencyKey() != "" {
+		req.Header.Set(verdict.IdempotencyKeyHeader, o.GetIdempotencyKey())
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline).Seconds()
+		req.Header.Set(verdict.TimeoutHeader, strconv.FormatFloat(max(left, 0), 'f', 3, 64))
+	}
+	req.ContentLength = o.GetContentLength()
+	if o.GetContentLength() != 0 || !o.GetIdempotent() {
+		req.Body = singleUseBody{body}
+	}
+	return req, nil
+}
+
+// singleUseBody hides every way to read a body again. net/http repeats a
+// request with an Idempotency-Key on its own when a connection fails and the
+// body can be rewound, which would run a request twice that may run once.
+type singleUseBody struct{ io.Reader }
+
+// Close does nothing; the owner of the reader closes it.
+func (singleUseBody) Close() error { return nil }
+
+// failure classifies an error of net/http.
+func (d *dispatcher) failure(ctx context.Context, err error, connected bool) error {
+	if !connected {
+		return &verdict.Error{
+			Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "backend-unreachable",
+			Detail: "no connection to the backend server", RetryAfter: time.Second, Cause: err,
+		}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return timeoutError(err)
+	}
+	return verdict.Lost("backend-lost", "connection to the backend server failed after the request was sent", err)
+}
+
+// check inspects the head of an answer before any of it is passed on.
+func (d *dispatcher) check(resp *http.Response, o *wire.Offer) error {
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		if reason := resp.Header.Get(verdict.RefusedHeader); reason == "shed" || reason == "draining" {
+			return verdict.Refuse("backend-"+reason, "the backend server refused the request before execution", retryAfter(resp))
+		}
+	}
+	id := resp.Header.Get(verdict.RequestIDHeader)
+	switch {
+	case id == o.GetRequestId():
+		d.echoesID.Store(true)
+	case id != "" || d.echoesID.Load():
+		return verdict.Lost("crossed-answer", "the answer does not belong to this request", nil)
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(o.GetMethod(), resp.StatusCode) {
+		// An answer that ends with its connection cannot be told from a cut one.
+		return verdict.Lost("unframed-answer", "the answer has neither a length nor chunked framing", nil)
+	}
+	return nil
+}
+
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return time.Second
+	}
+	return time.Duration(s) * time.Second
+}
+
+func timeoutError(cause error) *verdict.Error {
+	return &verdict.Error{
+		Verdict: verdict.MayHaveRun, Status: http.StatusGatewayTimeout, Code: "deadline-exceeded",
+		Detail: "the deadline passed before the answer was complete", Cause: cause,
+	}
+}
--- a/node/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package node is described in docs/design.md.
-package node
--- /dev/null
+++ b/node/execute.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"trefoildock.example/admission"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+// execute dispatches an admitted request and streams the answer to the entry.
+// finish frees the slot once the backend server is done with the request, so
+// that the load sent with the end of the answer is current.
+func (o *owner) execute(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming, finish func(admission.Result)) (admission.Result, error) {
+	o.metrics.dispatched.Inc(1)
+	resp, err := b.dispatch.roundTrip(ctx, offer, in)
+	if err != nil {
+		return resultOf(ctx, err), err
+	}
+	defer resp.Body.Close()
+	if err := o.relay(ctx, x, resp, offer, finish); err != nil {
+		return resultOf(ctx, err), err
+	}
+	return answerResult(resp.StatusCode), nil
+}
+
+func answerResult(status int) admission.Result {
+	if status >= http.StatusInternalServerError {
+		return admission.Failure
+	}
+	return admission.Success
+}
+
+// relay sends head, body and end. A short answer goes out in one write.
+func (o *owner) relay(ctx context.Context, x exchange, resp *http.Response, offer *wire.Offer, finish func(admission.Result)) error {
+	pending := []*wire.Envelope{headEnvelope(&wire.Head{
+		Status: uint32(resp.StatusCode), RequestId: offer.GetRequestId(),
+		Fields: responseFields(resp.Header), ContentLength: resp.ContentLength,
+	})}
+	var sent int64
+	for {
+		buf := make([]byte, chunkSize(resp.ContentLength-sent)) // Not reused: an in-process exchange keeps it.
+		n, err := readChunk(resp.Body, buf, resp.ContentLength >= 0)
+		sent += int64(n)
+		if n > 0 {
+			pending = append(pending, chunkEnvelope(buf[:n], false))
+		}
+		if err == io.EOF {
+			finish(answerResult(resp.StatusCode))
+			end := endEnvelope(&wire.End{BodyBytes: sent, Load: o.load(offer.GetService())})
+			return send(x, append(pending, end))
+		}
+		if err != nil {
+			return o.cutAnswer(ctx, err)
+		}
+		if err := send(x, pending); err != nil {
+			return err
+		}
+		pending = nil
+	}
+}
+
+// readChunk reads from a body. With fill it reads until buf is full, else it
+// returns what has arrived, so that a slow stream is passed on at once. io.EOF
+// means that the body is complete; net/http reports a cut body by another error.
+func readChunk(body io.Reader, buf []byte, fill bool) (int, error) {
+	n, err := body.Read(buf)
+	for fill && err == nil && n < len(buf) {
+		var m int
+		m, err = body.Read(buf[n:])
+		n += m
+	}
+	return n, err
+}
+
+func (o *owner) cutAnswer(ctx context.Context, err error) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return timeoutError(err)
+	}
+	o.metrics.cutAnswers.Inc(1)
+	return verdict.Lost("answer-cut", "the backend server's answer ended early", err)
+}
+
+func send(x exchange, es []*wire.Envelope) error {
+	if err := x.Send(es...); err != nil {
+		return verdict.Lost("entry-gone", "the entry closed the stream", err)
+	}
+	return nil
+}
+
+// chunkSize returns the buffer size for the next read of a body of which left
+// bytes remain; a negative value means that the length is unknown.
+func chunkSize(left int64) int {
+	if left < 0 || left > wire.ChunkBytes {
+		return wire.ChunkBytes
+	}
+	return int(left) + 1 // One more byte, so that the same read meets the end.
+}
--- /dev/null
+++ b/node/forward.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoildock.example/link"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+// maxAttempts is the number of owners that one request may try.
+const maxAttempts = 3
+
+// forwarder sends requests from this entry to owners.
+type forwarder struct {
+	self  string
+	zone  string
+	pool  *link.Pool
+	loads *loadTable
+	// serveLocal handles the owner's end of an in-process exchange.
+	serveLocal func(x exchange, offer *wire.Offer)
+	metrics    *trafficMetrics
+}
+
+// attempt sends the request to one owner and reads its answer up to
+// bufferBytes. Its error is always a *verdict.Error.
+func (f *forwarder) attempt(ctx context.Context, o *ownerRef, r *request) (*answer, error) {
+	x, err := f.open(ctx, o, r)
+	if err != nil {
+		f.loads.fail(o.node, r.service)
+		return nil, &verdict.Error{
+			Verdict: verdict.NotRun, Status: 503, Code: "owner-unreachable",
+			Detail: "no link to node " + o.node, RetryAfter: time.Second, Cause: err,
+		}
+	}
+	// Closing unblocks a pending read when the deadline passes or the caller leaves.
+	stop := context.AfterFunc(ctx, func() { x.Close() })
+	a, err := f.converse(ctx, x, o, r)
+	if err != nil || a.whole {
+		stop()
+		x.Close()
+	} else {
+		a.rest.x = &ownedExchange{exchange: x, stop: stop}
+	}
+	if err != nil {
+		return nil, f.attemptError(ctx, err)
+	}
+	return a, nil
+}
+
+// ownedExchange detaches the deadline when the reader of a long answer closes it.
+type ownedExchange struct {
+	exchange
+	stop func() bool
+}
+
+// Close ends the exchange.
+func (x *ownedExchange) Close() error {
+	x.stop()
+	return x.exchange.Close()
+}
+
+func (f *forwarder) open(ctx context.Context, o *ownerRef, r *request) (exchange, error) {
+	if o.node == f.self {
+		entry, owner := newLocalExchange()
+		deadline, _ := ctx.Deadline()
+		go f.serveLocal(owner, r.offer(deadline))
+		return entry, nil
+	}
+	st, peer, err := f.pool.Open(ctx, o.address)
+	if err != nil {
+		return nil, err
+	}
+	if peer.Node != o.node {
+		st.Close()
+		return nil, errors.Newf("%s is node %s, not %s", o.address, peer.Node, o.node)
+	}
+	return st, nil
+}
+
+// converse runs the request protocol on an open exchange.
+func (f *forwarder) converse(ctx context.Context, x exchange, o *ownerRef, r *request) (*answer, error) {
+	deadline, _ := ctx.Deadline()
+	var first []*wire.Envelope
+	if o.node != f.self {
+		first = []*wire.Envelope{offerEnvelope(r.offer(deadline))}
+	}
+	if !r.idempotent {
+		if err := f.reserve(x, o, r, first); err != nil {
+			return nil, err
+		}
+		first = []*wire.Envelope{commitEnvelope()}
+	}
+	if err := f.sendBody(x, r, first); err != nil {
+		return nil, err
+	}
+	return f.receive(x, o, r)
+}
+
+// reserve sends the offer of a request that is not idempotent and waits for the
+// owner's reservation. Without a commit the owner runs nothing, so every
+// failure here is NotRun.
+func (f *forwarder) reserve(x exchange, o *ownerRef, r *request, offer []*wire.Envelope) error {
+	lost := func(cause error) error {
+		return &verdict.Error{
+			Verdict: verdict.NotRun, Status: 503, Code: "offer-lost",
+			Detail: "the owner did not answer the offer", RetryAfter: time.Second, Cause: cause,
+		}
+	}
+	if err := sendAll(x, offer); err != nil {
+		f.loads.fail(o.node, r.service)
+		return lost(err)
+	}
+	e, err := x.Recv()
+	if err != nil {
+		f.loads.fail(o.node, r.service)
+		return lost(err)
+	}
+	switch m := e.GetBody().(type) {
+	case *wire.Envelope_Admitted:
+		f.loads.update(o.node, r.service, m.Admitted.GetLoad())
+		return nil
+	case *wire.Envelope_Abort:
+		f.loads.update(o.node, r.service, m.Abort.GetLoad())
+		return abortError(m.Abort)
+	default:
+		return lost(errors.New("unexpected message"))
+	}
+}
+
+// sendBody sends the body. A body that is not buffered is streamed beside the
+// answer, because a backend server may answer before it has read all of it.
+func (f *forwarder) sendBody(x exchange, r *request, first []*wire.Envelope) error {
+	if r.body.rest != nil {
+		go func() {
+			if err := r.body.send(x, first...); err != nil {
+				x.Close()
+			}
+		}()
+		return nil
+	}
+	if err := r.body.send(x, first...); err != nil {
+		return verdict.Lost("link-lost", "the link to the owner failed while the request was sent", err)
+	}
+	return nil
+}
+
+// receive reads the head and up to bufferBytes of the body.
+func (f *forwarder) receive(x exchange, o *ownerRef, r *request) (*answer, error) {
+	e, err := x.Recv()
+	if err != nil {
+		f.loads.fail(o.node, r.service)
+		return nil, verdict.Lost("link-lost", "the link to the owner failed before it answered", err)
+	}
+	update := func(l *wire.Load) { f.loads.update(o.node, r.service, l) }
+	if a := e.GetAbort(); a != nil {
+		update(a.GetLoad())
+		return nil, abortError(a)
+	}
+	head := e.GetHead()
+	if head == nil {
+		return nil, verdict.Lost("protocol", "unexpected message from the owner", nil)
+	}
+	if head.GetRequestId() != r.id {
+		f.metrics.crossedAnswers.Inc(1)
+		return nil, verdict.Lost("crossed-answer", "the owner answered another request", nil)
+	}
+	a := &answer{head: head, rest: &replyReader{x: x, load: update}}
+	return a, a.fill()
+}
+
+// fill reads the body until it is complete or bufferBytes are held.
+func (a *answer) fill() error {
+	var buf []byte
+	for len(buf) <= bufferBytes {
+		if len(a.rest.pending) == 0 {
+			if a.rest.done {
+				a.prefix, a.whole = buf, true
+				return nil
+			}
+			if err := a.rest.next(); err != nil {
+				return err
+			}
+		}
+		if buf == nil && a.rest.pending != nil {
+			buf = a.rest.pending
+		} else {
+			buf = append(buf, a.rest.pending...)
+		}
+		a.rest.pending = nil
+	}
+	a.prefix = buf
+	return nil
+}
+
+// attemptError reports a passed deadline as such; the verdict stays.
+func (f *forwarder) attemptError(ctx context.Context, err error) error {
+	e := verdict.From(err)
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) || e.Verdict == verdict.NotRun {
+		return e
+	}
+	return timeoutError(e)
+}
+
+// copyRest streams the part of an answer that is not buffered.
+func (a *answer) copyRest(w io.Writer) error {
+	_, err := io.Copy(w, a.rest)
+	return err
+}
+
+// close ends the exchange of a long answer.
+func (a *answer) close() {
+	if !a.whole {
+		a.rest.x.Close()
+	}
+}
+
+// choose picks the owner for the next attempt by two random choices on load,
+// preferring the own availability zone on ties. It returns nil if none is left.
+func (f *forwarder) choose(owners []*ownerRef, service string, tried map[string]bool, now time.Time) *ownerRef {
+	eligible := make([]*ownerRef, 0, len(owners))
+	for _, o := range owners {
+		if !tried[o.node] && f.loads.usable(o.node, service, now) {
+			eligible = append(eligible, o)
+		}
+	}
+	if len(eligible) == 0 {
+		return f.lastResort(owners, tried)
+	}
+	if len(eligible) == 1 {
+		return eligible[0]
+	}
+	i := rand.IntN(len(eligible))
+	j := rand.IntN(len(eligible) - 1)
+	if j >= i {
+		j++
+	}
+	a, b := eligible[i], eligible[j]
+	sa, sb := f.loads.score(a.node, service, now), f.loads.score(b.node, service, now)
+	if sa < sb || sa == sb && a.zone == f.zone {
+		return a
+	}
+	return b
+}
+
+// lastResort returns an owner that was not tried although its last known state
+// speaks against it, because that state may be outdated.
+func (f *forwarder) lastResort(owners []*ownerRef, tried map[string]bool) *ownerRef {
+	left := make([]*ownerRef, 0, len(owners))
+	for _, o := range owners {
+		if !tried[o.node] {
+			left = append(left, o)
+		}
+	}
+	if len(left) == 0 {
+		return nil
+	}
+	return left[rand.IntN(len(left))]
+}
--- /dev/null
+++ b/node/incoming.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoildock.example/wire"
+)
+
+// incoming reads the entry's side of a request stream at the owner: the commit,
+// the body, and the end that means cancellation.
+type incoming struct {
+	x         exchange
+	ctx       context.Context
+	cancel    func()
+	committed chan struct{}
+	commit    sync.Once
+	chunks    chan *wire.Chunk
+	current   []byte
+	last      bool
+}
+
+// errBodyCut reports a request body that ended before its last chunk, so that
+// the backend server sees a broken request and not a short one.
+var errBodyCut = errors.New("request body ended before its last chunk")
+
+func newIncoming(ctx context.Context, x exchange, cancel func()) *incoming {
+	return &incoming{x: x, ctx: ctx, cancel: cancel, committed: make(chan struct{}), chunks: make(chan *wire.Chunk, 1)}
+}
+
+// pump reads the stream until it ends and then cancels the request. After the
+// owner has answered the cancellation has no effect.
+func (in *incoming) pump() {
+	defer in.cancel()
+	defer close(in.chunks)
+	for {
+		e, err := in.x.Recv()
+		if err != nil {
+			return
+		}
+		switch m := e.GetBody().(type) {
+		case *wire.Envelope_Commit:
+			in.commit.Do(func() { close(in.committed) })
+		case *wire.Envelope_Chunk:
+			select {
+			case in.chunks <- m.Chunk:
+			case <-in.ctx.Done():
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// Read implements io.Reader over the body chunks.
+func (in *incoming) Read(p []byte) (int, error) {
+	for len(in.current) == 0 {
+		if in.last {
+			return 0, io.EOF
+		}
+		c, ok := <-in.chunks
+		if !ok {
+			return 0, errBodyCut
+		}
+		in.current, in.last = c.GetData(), c.GetLast()
+	}
+	n := copy(p, in.current)
+	in.current = in.current[n:]
+	return n, nil
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,31 @@
+package node
+
+import metrics "github.com/rcrowley/go-metrics"
+
+// trafficMetrics counts what happens to requests. Every metric is described in
+// docs/metrics.md.
+type trafficMetrics struct {
+	requests, answered, refused, mayHaveRun metrics.Counter
+	retries, hedges, redirects              metrics.Counter
+	unauthorized, noRoute, notFresh         metrics.Counter
+	dispatched, cutAnswers, crossedAnswers  metrics.Counter
+	abortedStreams                          metrics.Counter
+	announcementsRefused, linkErrors        metrics.Counter
+	rateRefused, claimRefused               metrics.Counter
+	latency, backendLatency                 metrics.Timer
+}
+
+func newTrafficMetrics(r metrics.Registry) *trafficMetrics {
+	c := func(name string) metrics.Counter { return metrics.NewRegisteredCounter(name, r) }
+	return &trafficMetrics{
+		requests: c("requests.received"), answered: c("requests.answered"),
+		refused: c("requests.refused.not_run"), mayHaveRun: c("requests.failed.may_have_run"),
+		retries: c("requests.retries"), hedges: c("requests.hedges"), redirects: c("requests.redirects"),
+		unauthorized: c("requests.unauthorized"), noRoute: c("requests.no_route"), notFresh: c("requests.not_fresh"),
+		dispatched: c("owner.dispatched"), cutAnswers: c("owner.answers.cut"),
+		crossedAnswers: c("answers.crossed"), abortedStreams: c("answers.aborted"),
+		announcementsRefused: c("owner.announcements.refused"), linkErrors: c("link.errors"),
+		rateRefused: c("requests.refused.rate"), claimRefused: c("requests.refused.claim"),
+		latency: metrics.NewRegisteredTimer("requests.latency", r), backendLatency: metrics.NewRegisteredTimer("owner.latency", r),
+	}
+}
--- /dev/null
+++ b/node/owner.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"trefoildock.example/admission"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+// owner runs the requests for the backend servers on this VM. It is the only
+// node that sends them work, so its limits are exact.
+type owner struct {
+	metrics *trafficMetrics
+	logger  log.Logger
+	// servicesChanged is told when the set of owned services has changed.
+	servicesChanged func()
+
+	mu       sync.RWMutex
+	backends map[string]*backend
+	// stateOf gives the operator's and the node's state for a backend server.
+	stateOf func(name, service string) admission.State
+}
+
+func newOwner(m *trafficMetrics, logger log.Logger) *owner {
+	return &owner{
+		metrics: m, logger: logger, servicesChanged: func() {},
+		backends: make(map[string]*backend),
+		stateOf:  func(string, string) admission.State { return admission.Serving },
+	}
+}
+
+// announce records an announcement. A backend server that changes its service
+// or address under the same incarnation is refused.
+func (o *owner) announce(name string, a announcement, now time.Time) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b := o.backends[name]
+	if b != nil && b.announcement.Incarnation == a.Incarnation &&
+		(b.announcement.Service != a.Service || b.announcement.Address != a.Address) {
+		return errors.Newf("backend server %s changed its service or address without a new incarnation", name)
+	}
+	if b != nil && (b.announcement.Service != a.Service || b.announcement.Address != a.Address) {
+		o.remove(b)
+		b = nil
+	}
+	if b == nil {
+		b = newBackend(name, a)
+		o.backends[name] = b
+		o.logger.Log("event", "backend server announced", "backend", name, "service", a.Service, "slots", a.Slots)
+		go o.servicesChanged()
+	}
+	b.announcement, b.lastSeen = a, now
+	b.gate.Announce(admission.Announcement{Slots: a.Slots, Connections: a.Connections, Incarnation: a.Incarnation})
+	o.applyState(b)
+	return nil
+}
+
+// withdraw removes a backend server that announced its end.
+func (o *owner) withdraw(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if b := o.backends[name]; b != nil {
+		o.remove(b)
+	}
+}
+
+// remove forgets a backend server. Requests that run there finish or fail by
+// their own deadline. o.mu is held.
+func (o *owner) remove(b *backend) {
+	b.gate.SetState(admission.Leaving)
+	b.dispatch.close()
+	delete(o.backends, b.name)
+	o.logger.Log("event", "backend server gone", "backend", b.name, "service", b.announcement.Service)
+	go o.servicesChanged()
+}
+
+// tick removes backend servers whose announcement has lapsed and expires
+// waiting requests.
+func (o *owner) tick(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, b := range o.backends {
+		if now.Sub(b.lastSeen) > announcementLifetime {
+			o.remove(b)
+			continue
+		}
+		o.applyState(b)
+		b.gate.Tick()
+	}
+}
+
+// applyState combines the announced state with that of the operator and of the
+// node. o.mu is held.
+func (o *owner) applyState(b *backend) {
+	s := o.stateOf(b.name, b.announcement.Service)
+	if b.announcement.State == "draining" {
+		s = admission.Leaving
+	}
+	if b.gate.State() == s {
+		return
+	}
+	b.gate.SetState(s)
+	o.logger.Log("event", "backend server state", "backend", b.name, "state", s)
+}
+
+// services returns the sorted names of the owned services.
+func (o *owner) services() []string {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	var names []string
+	for _, b := range o.backends {
+		if !slices.Contains(names, b.announcement.Service) {
+			names = append(names, b.announcement.Service)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// inFlight returns the number of requests that run or wait at this owner.
+func (o *owner) inFlight() int {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	total := 0
+	for _, b := range o.backends {
+		l := b.gate.Load()
+		total += int(l.InFlight + l.Queued)
+	}
+	return total
+}
+
+// pick returns the backend server of the service with the lowest occupancy.
+func (o *owner) pick(service string) *backend {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	var best *backend
+	bestScore := 0.0
+	for _, b := range o.backends {
+		if b.announcement.Service != service {
+			continue
+		}
+		l := b.gate.Load()
+		score := float64(l.InFlight+l.Queued+1) / max(float64(l.Limit), 1)
+		if l.Weight == 0 {
+			score += 1e6
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = b, score
+		}
+	}
+	return best
+}
+
+// load sums the load of the service over its backend servers here.
+func (o *owner) load(service string) *wire.Load {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	sum := &wire.Load{}
+	for _, b := range o.backends {
+		if b.announcement.Service != service {
+			continue
+		}
+		l := b.gate.Load()
+		sum.InFlight += l.InFlight
+		sum.Queued += l.Queued
+		if l.Weight > 0 {
+			sum.Limit += l.Limit
+			sum.Weight += l.Weight
+		}
+	}
+	return sum
+}
+
+// serve handles one request stream from an entry.
+func (o *owner) serve(x exchange, offer *wire.Offer) {
+	defer x.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(offer.GetTimeoutUs())*time.Microsecond)
+	defer cancel()
+	if err := o.run(ctx, cancel, x, offer); err != nil {
+		_ = x.Send(abortEnvelope(verdict.From(err), o.load(offer.GetService()))) // The entry may be gone.
+	}
+}
+
+func (o *owner) run(ctx context.Context, cancel func(), x exchange, offer *wire.Offer) error {
+	b := o.pick(offer.GetService())
+	if b == nil {
+		return verdict.Refuse("not-owner", "this node owns no backend server of the service", time.Second)
+	}
+	in := newIncoming(ctx, x, cancel)
+	go in.pump()
+	release, err := o.admit(ctx, x, b, offer, in)
+	if err != nil {
+		return err
+	}
+	result := admission.Failure
+	var once sync.Once
+	free := func() { once.Do(func() { release(result) }) }
+	defer free()
+	result, err = o.execute(ctx, x, b, offer, in, func(r admission.Result) { result = r; free() })
+	return err
+}
+
+// admit waits for a slot and, for a two-phase request, for the entry's commit.
+func (o *owner) admit(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming) (func(admission.Result), error) {
+	deadline, _ := ctx.Deadline()
+	req := admission.Request{
+		Team: offer.GetTeam(), Weight: offer.GetTeamWeight(), Deadline: deadline, Idempotent: offer.GetIdempotent(),
+	}
+	if !offer.GetTwoPhase() {
+		release, err := b.gate.Acquire(ctx, req)
+		return release, refused(err)
+	}
+	res, err := b.gate.Reserve(ctx, req)
+	if err != nil {
+		return nil, refused(err)
+	}
+	if err := x.Send(admittedEnvelope(o.load(offer.GetService()))); err != nil {
+		res.Release(admission.Canceled)
+		return nil, refused(err)
+	}
+	select {
+	case <-in.committed:
+	case <-ctx.Done():
+		res.Release(admission.Canceled)
+		return nil, refused(ctx.Err())
+	}
+	if err := res.Commit(); err != nil {
+		res.Release(admission.Canceled)
+		return nil, refused(err)
+	}
+	return res.Release, nil
+}
+
+// refused converts an admission error; nothing was dispatched.
+func refused(err error) error {
+	if err == nil {
+		return nil
+	}
+	var r *admission.RefusedError
+	if errors.As(err, &r) {
+		return verdict.Refuse(r.Code, "the owner refused the request before dispatch", r.RetryAfter)
+	}
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Status: 503, Code: "queue-deadline",
+		Detail: "the request was not dispatched before its deadline", RetryAfter: time.Second, Cause: err,
+	}
+}
+
+// resultOf tells the gate how a request ended.
+func resultOf(ctx context.Context, err error) admission.Result {
+	e := verdict.From(err)
+	switch {
+	case e == nil:
+		return admission.Success
+	case e.Code == "backend-shed":
+		return admission.Shed
+	case errors.Is(ctx.Err(), context.Canceled):
+		return admission.Canceled
+	default:
+		return admission.Failure
+	}
+}
