--- /dev/null
+++ b/rules/merge.go
@@ -0,0 +1,51 @@
+package rules
+
+// Merge returns one delta with the effect of the deltas one after the other.
+// Applying it costs one copy of the configuration instead of one for each delta.
+// The deltas must follow each other; intermediate configurations are not checked.
+func Merge(deltas ...Delta) Delta {
+	var removed, added lineSet
+	for _, d := range deltas {
+		for _, line := range d.Removed {
+			if !added.remove(line) {
+				removed.add(line)
+			}
+		}
+		for _, line := range d.Added {
+			if !removed.remove(line) {
+				added.add(line)
+			}
+		}
+	}
+	return Delta{Removed: removed.lines(), Added: added.lines()}
+}
+
+// lineSet is a set of lines in the order in which they were added.
+type lineSet struct {
+	ordered []string
+	index   map[string]int
+}
+
+func (s *lineSet) add(line string) {
+	if s.index == nil {
+		s.index = make(map[string]int)
+	}
+	s.index[line] = len(s.ordered)
+	s.ordered = append(s.ordered, line)
+}
+
+func (s *lineSet) remove(line string) bool {
+	_, found := s.index[line]
+	delete(s.index, line)
+	return found
+}
+
+func (s *lineSet) lines() []string {
+	var lines []string
+	for i, line := range s.ordered {
+		if at, found := s.index[line]; found && at == i {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -207,6 +207,23 @@
 	})
 }
 
+// Guards against a merged delta that differs from its parts in sequence.
+func TestMergeProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := genConfig().Draw(t, "first")
+		last := first
+		var deltas []Delta
+		for range rapid.IntRange(0, 5).Draw(t, "count") {
+			next := genConfig().Draw(t, "next")
+			deltas = append(deltas, Diff(last, next))
+			last = next
+		}
+		got, err := first.Apply(Merge(deltas...))
+		require.NoError(t, err)
+		require.Equal(t, last.Lines(), got.Lines())
+	})
+}
+
 // genConfig generates valid configurations from few names, so that two of them overlap.
 func genConfig() *rapid.Generator[*Config] {
 	names := rapid.SampledFrom([]string{"a", "b", "c-1", "D.e_2"})
