Add the stand-in backend server, the load generator and their command

Runs against the fleet need backend servers whose gray failures can be switched while they serve, and callers that prove what they got. The load generator checks that every answer is whole and belongs to its request, resends unanswered orders under the same key, and compares its orders with the executions, so that an order that ran twice is seen.

--- /dev/null
+++ b/standin/backend/faults.go
@@ -0,0 +1,140 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Values of Faults.LoadReport.
+const (
+	LoadHonest = ""
+	LoadIdle   = "idle"
+	LoadFull   = "full"
+)
+
+// maxReportLag bounds the lag of the health and load endpoints.
+const maxReportLag = 30 * time.Second
+
+// Faults are the faults of a backend server; the zero value is a server without
+// faults. Shares are between 0 and 1. A request with several faults shows the
+// first in the order hang, error, cut, crossed, wrong.
+type Faults struct {
+	// SlowFactor multiplies the service time; 0 means 1.
+	SlowFactor float64 `json:"slow_factor,omitempty"`
+	// SlowShare is the share of requests that are slow; 0 means all.
+	SlowShare float64 `json:"slow_share,omitempty"`
+	// HangShare is the share of requests that are never answered.
+	HangShare float64 `json:"hang_share,omitempty"`
+	// ErrorShare is the share answered with status 500.
+	ErrorShare float64 `json:"error_share,omitempty"`
+	// CutShare is the share whose connection is closed in the middle of the body.
+	CutShare float64 `json:"cut_share,omitempty"`
+	// CrossedShare is the share that gets the answer to another request.
+	CrossedShare float64 `json:"crossed_share,omitempty"`
+	// WrongShare is the share that gets a wrong body.
+	WrongShare float64 `json:"wrong_share,omitempty"`
+	// WrongDigestMatches makes Content-Digest match the wrong body.
+	WrongDigestMatches bool `json:"wrong_digest_matches,omitempty"`
+	// CrashMarker crashes the server on a request that contains it in its body or
+	// in a header value; empty means never.
+	CrashMarker string `json:"crash_marker,omitempty"`
+	// ColdRestart starts a cold start when the faults are set, without a new
+	// incarnation.
+	ColdRestart bool `json:"cold_restart,omitempty"`
+	// RefuseConnections closes the listener; open connections keep working.
+	RefuseConnections bool `json:"refuse_connections,omitempty"`
+	// HealthFails makes the health endpoint answer 503.
+	HealthFails bool `json:"health_fails,omitempty"`
+	// LoadReport is "" for true reports, "idle" or "full".
+	LoadReport string `json:"load_report,omitempty"`
+	// ReportLagMillis makes the health and load endpoints report the state of
+	// this many milliseconds ago.
+	ReportLagMillis int64 `json:"report_lag_ms,omitempty"`
+}
+
+// validate returns an error if a value is out of range.
+func (f Faults) validate() error {
+	for _, share := range []float64{f.SlowShare, f.HangShare, f.ErrorShare, f.CutShare, f.CrossedShare, f.WrongShare} {
+		if !(share >= 0 && share <= 1) {
+			return errors.Newf("share %v is not between 0 and 1", share)
+		}
+	}
+	if !(f.SlowFactor >= 0 && f.SlowFactor <= 1e6) {
+		return errors.Newf("slow factor %v is out of range", f.SlowFactor)
+	}
+	switch f.LoadReport {
+	case LoadHonest, LoadIdle, LoadFull:
+	default:
+		return errors.Newf("unknown load report %q", f.LoadReport)
+	}
+	if lag := f.reportLag(); lag < 0 || lag > maxReportLag {
+		return errors.Newf("report lag %v is not between 0 and %v", lag, maxReportLag)
+	}
+	return nil
+}
+
+func (f Faults) reportLag() time.Duration {
+	return time.Duration(f.ReportLagMillis) * time.Millisecond
+}
+
+// crashes reports whether the request contains the crash marker.
+func (f Faults) crashes(h http.Header, body []byte) bool {
+	if f.CrashMarker == "" {
+		return false
+	}
+	if strings.Contains(string(body), f.CrashMarker) {
+		return true
+	}
+	for _, values := range h {
+		for _, v := range values {
+			if strings.Contains(v, f.CrashMarker) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// outcome is how an execution ends.
+type outcome uint8
+
+const (
+	answered outcome = iota
+	hung
+	failed
+	cut
+	crossed
+	wrong
+)
+
+// plan is the course of one execution.
+type plan struct {
+	serviceTime time.Duration
+	outcome     outcome
+}
+
+// drawPlan returns the course of the n-th execution. It depends on nothing but
+// its arguments, so a run can be repeated from its seed.
+func drawPlan(c *Config, f *Faults, n uint64) plan {
+	rng := rand.New(rand.NewPCG(c.Seed, n))
+	serviceTime := drawServiceTime(c, rng)
+	if slow := rng.Float64(); f.SlowFactor > 0 && (f.SlowShare == 0 || slow < f.SlowShare) {
+		serviceTime *= f.SlowFactor
+	}
+	p := plan{serviceTime: time.Duration(serviceTime), outcome: answered}
+	faults := [...]struct {
+		share   float64
+		outcome outcome
+	}{{f.HangShare, hung}, {f.ErrorShare, failed}, {f.CutShare, cut}, {f.CrossedShare, crossed}, {f.WrongShare, wrong}}
+	for _, fault := range faults {
+		// Each fault uses one number, so that switching one does not move the others.
+		if rng.Float64() < fault.share && p.outcome == answered {
+			p.outcome = fault.outcome
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/standin/backend/listener.go
@@ -0,0 +1,96 @@
+package backend
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// limitedListener closes connections beyond a limit as soon as they are accepted.
+type limitedListener struct {
+	net.Listener
+	limit    int64
+	open     *atomic.Int64
+	rejected *atomic.Uint64
+}
+
+// Accept returns the next connection within the limit.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &countedConn{Conn: conn, open: l.open}, nil
+		}
+		l.open.Add(-1)
+		l.rejected.Add(1)
+		conn.Close()
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+// Close closes the connection and gives back its place under the limit.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// acceptor opens and closes the listener of an HTTP server. While it is closed,
+// the system refuses new connections and open ones keep working.
+type acceptor struct {
+	srv      *http.Server
+	limit    int64
+	open     atomic.Int64
+	rejected atomic.Uint64
+
+	mu       sync.Mutex
+	address  string
+	listener net.Listener // nil while closed
+	serving  sync.WaitGroup
+}
+
+// start listens on address and serves. It does nothing if it is already open.
+func (a *acceptor) start() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", a.address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	a.listener = l
+	a.address = l.Addr().String() // A reopened listener keeps the port.
+	limited := &limitedListener{Listener: l, limit: a.limit, open: &a.open, rejected: &a.rejected}
+	a.serving.Go(func() {
+		_ = a.srv.Serve(limited) // Ends with an error whenever the listener is closed.
+	})
+	return nil
+}
+
+// stop closes the listener and keeps open connections.
+func (a *acceptor) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.listener != nil {
+		a.listener.Close()
+		a.listener = nil
+	}
+}
+
+func (a *acceptor) addr() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.address
+}
--- /dev/null
+++ b/standin/load/config.go
@@ -0,0 +1,140 @@
+// Package load generates requests against entry nodes and checks every answer.
+//
+// Each team sends at its own rate with exponential gaps between arrivals (an
+// open loop: a slow fleet does not slow the callers). A request names itself in
+// its query and, for an order, in its body, so that the stand-in backend
+// server's answer proves that it is whole and belongs to the request. An order
+// carries a UUIDv7 Idempotency-Key and is sent again with the same key if it was
+// not answered. All choices but the keys follow from Config.Seed.
+package load
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout     = 5 * time.Second
+	DefaultMaxInFlight = 512
+	DefaultResendDelay = 200 * time.Millisecond
+)
+
+// Bounds of Config.
+const (
+	maxDuration    = 24 * time.Hour
+	maxTeamRate    = 100_000
+	maxBodyBytes   = 1 << 20
+	maxPadding     = 16 << 20
+	maxResends     = 100
+	maxInFlightCap = 10_000
+)
+
+// Config configures a run. Durations are in nanoseconds in JSON.
+type Config struct {
+	// Entries are the addresses of the entry nodes ("127.0.0.1:8080" or a base
+	// URL), used in turn; at least one.
+	Entries []string `json:"entries"`
+	// Teams are the callers; at least one.
+	Teams []Team `json:"teams"`
+	// Kinds is the mix of requests; at least one.
+	Kinds []Kind `json:"kinds"`
+	// Duration bounds the time in which requests start; required.
+	Duration time.Duration `json:"duration"`
+	// MaxRequests bounds the number of requests without resends; 0 means no bound.
+	MaxRequests int `json:"max_requests"`
+	// Timeout bounds one attempt and is sent as Request-Timeout; default 5 s.
+	Timeout time.Duration `json:"timeout"`
+	// MaxInFlight bounds concurrent requests; arrivals beyond it are counted as
+	// skipped; default 512.
+	MaxInFlight int `json:"max_in_flight"`
+	// Resends is the number of times that an unanswered order is sent again.
+	Resends int `json:"resends"`
+	// ResendDelay is the wait before a resend; default 200 ms.
+	ResendDelay time.Duration `json:"resend_delay"`
+	// KeepOrders lists every order in the report, for a comparison with the
+	// executions of the backend servers.
+	KeepOrders bool `json:"keep_orders"`
+	// Seed determines arrivals, kinds and entries.
+	Seed uint64 `json:"seed"`
+}
+
+// Team is a caller.
+type Team struct {
+	// Name is the team that the answer must name; empty is not compared.
+	Name string `json:"name"`
+	// Key is sent as a bearer token; empty sends none.
+	Key string `json:"key"`
+	// Rate is the mean number of requests per second.
+	Rate float64 `json:"rate"`
+}
+
+// Kind is a kind of request.
+type Kind struct {
+	// Method is the HTTP method; a POST is an order.
+	Method string `json:"method"`
+	// Path is the path of the request.
+	Path string `json:"path"`
+	// Host replaces the Host header; empty means the entry's address.
+	Host string `json:"host"`
+	// Share is the weight of this kind among all kinds.
+	Share float64 `json:"share"`
+	// AnswerPadding is the number of bytes asked for with ?size=.
+	AnswerPadding int `json:"answer_padding"`
+	// BodyPadding is the number of bytes added to the body of an order.
+	BodyPadding int `json:"body_padding"`
+}
+
+// once reports whether the request may run at most once.
+func (k Kind) once() bool { return k.Method == http.MethodPost }
+
+// withDefaults validates c and fills its defaults. All errors are reported at once.
+func (c Config) withDefaults() (Config, error) {
+	var errs []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, errors.Newf(format, args...))
+		}
+	}
+	c.Entries = append([]string(nil), c.Entries...)
+	for i, entry := range c.Entries {
+		if !strings.Contains(entry, "://") {
+			entry = "http://" + entry
+		}
+		u, err := url.Parse(entry)
+		check(err == nil && u.Host != "", "entry %q is not an address", entry)
+		c.Entries[i] = strings.TrimSuffix(entry, "/")
+	}
+	check(len(c.Entries) > 0, "no entry addresses")
+	check(len(c.Teams) > 0, "no teams")
+	for _, t := range c.Teams {
+		check(t.Rate > 0 && t.Rate <= maxTeamRate, "rate %v of team %q is not between 0 and %d", t.Rate, t.Name, maxTeamRate)
+	}
+	check(len(c.Kinds) > 0, "no kinds of requests")
+	for _, k := range c.Kinds {
+		check(k.Method != "" && strings.HasPrefix(k.Path, "/"), "kind %q %q needs a method and a path", k.Method, k.Path)
+		check(!strings.ContainsAny(k.Path, "?#%"), "path %q must be plain", k.Path)
+		check(k.Share > 0, "share %v of %s is not above 0", k.Share, k.Path)
+		check(k.AnswerPadding >= 0 && k.AnswerPadding <= maxPadding, "answer padding %d", k.AnswerPadding)
+		check(k.BodyPadding >= 0 && k.BodyPadding <= maxBodyBytes/2, "body padding %d", k.BodyPadding)
+	}
+	check(c.Duration > 0 && c.Duration <= maxDuration, "duration %v is not between 0 and %v", c.Duration, maxDuration)
+	check(c.Timeout >= 0 && c.ResendDelay >= 0, "times must not be negative")
+	check(c.MaxRequests >= 0, "number of requests is negative")
+	check(c.Resends >= 0 && c.Resends <= maxResends, "resends %d is not between 0 and %d", c.Resends, maxResends)
+	check(c.MaxInFlight >= 0 && c.MaxInFlight <= maxInFlightCap, "in flight %d is not between 0 and %d", c.MaxInFlight, maxInFlightCap)
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	if c.MaxInFlight == 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
+	if c.ResendDelay == 0 {
+		c.ResendDelay = DefaultResendDelay
+	}
+	return c, errors.Join(errs...)
+}
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/standin/backend"
+	"trefoildock.example/verdict"
+)
+
+// config returns a run of n requests, half of them orders.
+func config(n int, entries ...string) Config {
+	return Config{
+		Entries: entries,
+		Teams:   []Team{{Rate: 2000}},
+		Kinds: []Kind{
+			{Method: http.MethodGet, Path: "/catalogue/oak", Share: 1, AnswerPadding: 1000},
+			{Method: http.MethodPost, Path: "/orders", Share: 1, BodyPadding: 100},
+		},
+		Duration: time.Minute, MaxRequests: n, ResendDelay: time.Millisecond, KeepOrders: true, Seed: 7,
+	}
+}
+
+func startBackend(t *testing.T) *backend.Server {
+	t.Helper()
+	s, err := backend.New(backend.Config{Name: "b", Service: "s", Slots: 100, ServiceTime: time.Millisecond, Seed: 7})
+	require.NoError(t, err)
+	require.NoError(t, s.Start())
+	t.Cleanup(s.Kill)
+	return s
+}
+
+// Guards against right answers being reported as wrong, and against orders that
+// do not reach the executions under their key.
+func TestRunAgainstHealthyServer(t *testing.T) {
+	s := startBackend(t)
+	r, err := Run(t.Context(), config(100, s.Addr()))
+	require.NoError(t, err)
+	require.Equal(t, uint64(100), r.Total.Counts.Answered, r.Findings)
+	require.Equal(t, int64(100), r.Total.Latency.Count)
+	require.NotEmpty(t, r.Orders)
+	keys := s.Executions().Keys
+	require.Len(t, keys, len(r.Orders))
+	require.Empty(t, CheckExecutions(r.Orders, keys))
+	var table bytes.Buffer
+	require.NoError(t, r.WriteTable(&table))
+	require.Contains(t, table.String(), "total")
+}
+
+// Guards against a faulty answer being counted as a good one.
+func TestRunFindsFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults backend.Faults
+		count  func(Counts) uint64
+	}{
+		{"wrong", backend.Faults{WrongShare: 1, WrongDigestMatches: true}, func(c Counts) uint64 { return c.Wrong }},
+		{"crossed", backend.Faults{CrossedShare: 1}, func(c Counts) uint64 { return c.Wrong }},
+		{"cut", backend.Faults{CutShare: 1}, func(c Counts) uint64 { return c.Cut }},
+		{"failed", backend.Faults{ErrorShare: 1}, func(c Counts) uint64 { return c.Failed }},
+		{"refused", backend.Faults{RefuseConnections: true}, func(c Counts) uint64 { return c.NotSent }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := startBackend(t)
+			require.NoError(t, s.SetFaults(c.faults))
+			r, err := Run(t.Context(), config(20, s.Addr()))
+			require.NoError(t, err)
+			require.Equal(t, uint64(20), c.count(r.Total.Counts), "%+v", r.Total.Counts)
+			require.NotEmpty(t, r.Findings)
+		})
+	}
+}
+
+// Guards against a resend that is a new order, and against one that is not made.
+func TestResendsUnansweredOrderUnchanged(t *testing.T) {
+	var mu sync.Mutex
+	seen := make(map[string][]string) // bodies by key
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		key := r.Header.Get(verdict.IdempotencyKeyHeader)
+		mu.Lock()
+		seen[key] = append(seen[key], string(body))
+		n := len(seen[key])
+		mu.Unlock()
+		switch n {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			w.WriteHeader(http.StatusConflict) // The first attempt is still running.
+		default:
+			verdict.Refuse("test", "no more", 0).Write(w, "r")
+		}
+	}))
+	defer entry.Close()
+	c := config(5, entry.URL)
+	c.Kinds = c.Kinds[1:]
+	c.Resends = 4
+	r, err := Run(t.Context(), c)
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), r.Total.Counts.NotRun, r.Findings)
+	require.Equal(t, uint64(10), r.Total.Counts.Resent)
+	require.Len(t, seen, 5)
+	for key, bodies := range seen {
+		require.Equal(t, uuid.Version(7), uuid.MustParse(key).Version())
+		require.Equal(t, []string{bodies[0], bodies[0], bodies[0]}, bodies)
+	}
+}
+
+// Guards against a refusal that is read as safer than its verdict.
+func TestJudge(t *testing.T) {
+	cases := []struct {
+		code    int
+		verdict string
+		refused string
+		want    Outcome
+	}{
+		{503, "not-run", "", NotRun},
+		{502, "may-have-run", "", MayHaveRun},
+		{503, "", "shed", NotRun},
+		{503, "completed", "shed", Failed},
+		{503, "", "", Failed},
+		{200, "", "", Wrong}, // An empty body.
+	}
+	team, kind := &Team{}, &Kind{Method: http.MethodGet, Path: "/"}
+	o, err := newOrder(team, kind, "1")
+	require.NoError(t, err)
+	for _, c := range cases {
+		h := http.Header{verdict.Header: {c.verdict}, verdict.RefusedHeader: {c.refused}}
+		require.Equal(t, c.want, judge(&http.Response{StatusCode: c.code, Header: h}, nil, o).outcome, "%+v", c)
+	}
+}
+
+// Guards against broken promises that the comparison overlooks.
+func TestCheckExecutions(t *testing.T) {
+	orders := []Order{
+		{ID: "ok", Key: "1", Attempts: 1, Outcome: Answered},
+		{ID: "doubled", Key: "2", Attempts: 2, Outcome: Answered},
+		{ID: "lost", Key: "3", Attempts: 1, Outcome: Answered},
+		{ID: "false refusal", Key: "4", Attempts: 1, Outcome: NotRun},
+		{ID: "unknown", Key: "5", Attempts: 2, Outcome: NotRun},
+		{ID: "cut", Key: "6", Attempts: 1, Outcome: Cut},
+	}
+	broken := CheckExecutions(orders, map[string]int{"1": 1, "2": 2, "4": 1, "5": 1})
+	require.Equal(t, []string{
+		"order doubled ran 2 times",
+		"order lost was answered and did not run",
+		"order false refusal was refused as not run and ran",
+	}, broken)
+}
+
+// Guards against arrivals that miss the rate or the shares, or that a seed does
+// not repeat.
+func TestSchedule(t *testing.T) {
+	c := config(0, "a", "b")
+	c.Teams[0].Rate = 50
+	c.Kinds[0].Share = 3
+	first, second := newSchedule(&c, 0), newSchedule(&c, 0)
+	const n = 20_000
+	browsing := 0
+	var last arrival
+	for range n {
+		last = first.next()
+		require.Equal(t, last, second.next())
+		if last.kind == 0 {
+			browsing++
+		}
+	}
+	require.InEpsilon(t, n/50, last.at.Seconds(), 0.05)
+	require.InEpsilon(t, n*3/4, browsing, 0.05)
+}
+
+// Guards against a run that is unbounded because a value was left out.
+func TestConfigReportsAllErrors(t *testing.T) {
+	_, err := Run(t.Context(), Config{Teams: []Team{{Name: "x"}}})
+	for _, want := range []string{"entry", "rate", "kinds", "duration"} {
+		require.ErrorContains(t, err, want)
+	}
+}
--- /dev/null
+++ b/standin/load/report.go
@@ -0,0 +1,247 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// The histogram covers 1 µs to 10 min with 3 significant digits.
+	minLatencyMicros = 1
+	maxLatencyMicros = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits    = 3
+
+	// maxFindings bounds the list of findings in a report.
+	maxFindings = 20
+)
+
+// Counts are the numbers of requests by their last outcome.
+type Counts struct {
+	// Requests counts distinct requests; resends are not included.
+	Requests uint64 `json:"requests"`
+	// Sent counts attempts, resends included.
+	Sent uint64 `json:"sent"`
+	// Resent counts attempts after the first.
+	Resent uint64 `json:"resent"`
+	// Skipped counts arrivals beyond MaxInFlight; they were never sent.
+	Skipped uint64 `json:"skipped"`
+	// Answered to NotSent count requests by the outcome of the last attempt.
+	Answered   uint64 `json:"answered"`
+	NotRun     uint64 `json:"not_run"`
+	MayHaveRun uint64 `json:"may_have_run"`
+	Failed     uint64 `json:"failed"`
+	Wrong      uint64 `json:"wrong"`
+	Cut        uint64 `json:"cut"`
+	NoAnswer   uint64 `json:"no_answer"`
+	NotSent    uint64 `json:"not_sent"`
+	// WrongAttempts and CutAttempts also include attempts that were repeated.
+	WrongAttempts uint64 `json:"wrong_attempts"`
+	CutAttempts   uint64 `json:"cut_attempts"`
+}
+
+// byOutcome returns the field that counts o.
+func (c *Counts) byOutcome(o Outcome) *uint64 {
+	switch o {
+	case Answered:
+		return &c.Answered
+	case NotRun:
+		return &c.NotRun
+	case MayHaveRun:
+		return &c.MayHaveRun
+	case Wrong:
+		return &c.Wrong
+	case Cut:
+		return &c.Cut
+	case NoAnswer:
+		return &c.NoAnswer
+	case NotSent:
+		return &c.NotSent
+	default:
+		return &c.Failed
+	}
+}
+
+// Latency are quantiles of the time of answered attempts, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_ms"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// TeamReport is the part of a report on one team.
+type TeamReport struct {
+	Team    string  `json:"team"`
+	Counts  Counts  `json:"counts"`
+	Latency Latency `json:"latency"`
+}
+
+// Order is an order that was sent, for a comparison with the executions.
+type Order struct {
+	ID       string  `json:"id"`
+	Key      string  `json:"key"`
+	Attempts int     `json:"attempts"`
+	Outcome  Outcome `json:"outcome"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	// Seconds is the length of the run.
+	Seconds float64 `json:"seconds"`
+	// Total sums up all teams.
+	Total TeamReport `json:"total"`
+	// Teams has one report per team in the order of the configuration.
+	Teams []TeamReport `json:"teams"`
+	// Findings explains the first wrong, cut and failed answers.
+	Findings []string `json:"findings,omitempty"`
+	// Orders lists the orders if Config.KeepOrders is set.
+	Orders []Order `json:"orders,omitempty"`
+}
+
+// tally collects results. It is safe for concurrent use.
+type tally struct {
+	mu         sync.Mutex
+	names      []string
+	counts     []Counts
+	latency    []*hdrhistogram.Histogram
+	findings   []string
+	keepOrders bool
+	orders     []Order
+}
+
+func newTally(c *Config) *tally {
+	t := &tally{keepOrders: c.KeepOrders, counts: make([]Counts, len(c.Teams))}
+	for _, team := range c.Teams {
+		t.names = append(t.names, team.Name)
+		t.latency = append(t.latency, newHistogram())
+	}
+	return t
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
+}
+
+func (t *tally) skip(team int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[team].Skipped++
+}
+
+// attempt counts one attempt.
+func (t *tally) attempt(team int, r result, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.counts[team]
+	c.Sent++
+	switch r.outcome {
+	case Answered:
+		micros := min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros)
+		_ = t.latency[team].RecordValue(micros) // The value is within the range.
+	case Wrong:
+		c.WrongAttempts++
+	case Cut:
+		c.CutAttempts++
+	}
+}
+
+// finish counts a request by its last attempt.
+func (t *tally) finish(team int, o *order, last result, attempts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.counts[team]
+	c.Requests++
+	c.Resent += uint64(attempts - 1)
+	*c.byOutcome(last.outcome)++
+	if last.outcome != Answered && last.outcome != NotRun && len(t.findings) < maxFindings {
+		t.findings = append(t.findings, fmt.Sprintf("%s %s %s: %s: %s", o.kind.Method, o.kind.Path, o.id, last.outcome, last.detail))
+	}
+	if t.keepOrders && o.kind.once() {
+		t.orders = append(t.orders, Order{ID: o.id, Key: o.key, Attempts: attempts, Outcome: last.outcome})
+	}
+}
+
+// report sums up the run.
+func (t *tally) report(took time.Duration) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &Report{Seconds: took.Seconds(), Findings: t.findings, Orders: slices.Clone(t.orders)}
+	all := newHistogram()
+	for i, name := range t.names {
+		r.Teams = append(r.Teams, TeamReport{Team: name, Counts: t.counts[i], Latency: summarise(t.latency[i])})
+		r.Total.Counts.add(&t.counts[i])
+		all.Merge(t.latency[i])
+	}
+	r.Total.Team = "total"
+	r.Total.Latency = summarise(all)
+	return r
+}
+
+func (c *Counts) add(o *Counts) {
+	c.Requests += o.Requests
+	c.Sent += o.Sent
+	c.Resent += o.Resent
+	c.Skipped += o.Skipped
+	c.Answered += o.Answered
+	c.NotRun += o.NotRun
+	c.MayHaveRun += o.MayHaveRun
+	c.Failed += o.Failed
+	c.Wrong += o.Wrong
+	c.Cut += o.Cut
+	c.NoAnswer += o.NoAnswer
+	c.NotSent += o.NotSent
+	c.WrongAttempts += o.WrongAttempts
+	c.CutAttempts += o.CutAttempts
+}
+
+func summarise(h *hdrhistogram.Histogram) Latency {
+	quantile := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Latency{
+		Count: h.TotalCount(), Mean: h.Mean() / 1000,
+		P50: quantile(50), P90: quantile(90), P99: quantile(99), P999: quantile(99.9),
+		Max: float64(h.Max()) / 1000,
+	}
+}
+
+// WriteTable writes the report as a table.
+func (r *Report) WriteTable(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	lines := []string{tableHeader}
+	for _, t := range r.Teams {
+		lines = append(lines, t.row())
+	}
+	lines = append(lines, r.Total.row())
+	if _, err := fmt.Fprintln(w, strings.Join(lines, "\n")); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, finding := range r.Findings {
+		if _, err := fmt.Fprintln(out, finding); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tableHeader names the columns of TeamReport.row.
+const tableHeader = "team\trequests\tresent\tskipped\tanswered\tnot-run\tmay-have-run\tfailed\twrong\tcut\t" +
+	"no-answer\tnot-sent\tp50 ms\tp99 ms\tmax ms\t"
+
+func (t *TeamReport) row() string {
+	c := &t.Counts
+	return fmt.Sprintf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t",
+		t.Team, c.Requests, c.Resent, c.Skipped, c.Answered, c.NotRun, c.MayHaveRun, c.Failed, c.Wrong, c.Cut,
+		c.NoAnswer, c.NotSent, t.Latency.P50, t.Latency.P99, t.Latency.Max)
+}
