Keep net/http from repeating orders of the load generator

net/http repeats a request with an Idempotency-Key by itself when a reused connection is closed without an answer. The load generator then counted one attempt where the entry saw two. Orders now carry no GetBody, and repeated reads are counted.

--- a/standin/backend/backend_test.go
+++ b/standin/backend/backend_test.go
@@ -240,3 +240,25 @@
 	}
 	require.NoError(t, <-stopped)
 }
+
+// Guards against a connection limit that is not kept, and against a closed
+// connection that keeps its place.
+func TestConnectionLimit(t *testing.T) {
+	s := newServer(t, Config{Connections: 1})
+	require.NoError(t, s.Start())
+	clients := [2]*http.Client{{Transport: &http.Transport{}}, {Transport: &http.Transport{}}}
+	get := func(c *http.Client) error {
+		resp, err := c.Get("http://" + s.Addr() + "/stats")
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		return err
+	}
+	require.NoError(t, get(clients[0]))
+	require.Error(t, get(clients[1]))
+	require.Positive(t, s.Stats().RejectedConnections)
+	clients[0].CloseIdleConnections()
+	require.Eventually(t, func() bool { return get(clients[1]) == nil }, time.Minute, time.Millisecond)
+	clients[1].CloseIdleConnections()
+}
--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -49,7 +49,11 @@
 	w.Header().Set(verdict.RequestIDHeader, r.Header.Get(verdict.RequestIDHeader))
 	req, err := readRequest(w, r)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		status := http.StatusBadRequest
+		if errors.HasType(err, (*http.MaxBytesError)(nil)) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		http.Error(w, err.Error(), status)
 		return
 	}
 	run, refused := s.begin(time.Now())
--- a/standin/load/attempt.go
+++ b/standin/load/attempt.go
@@ -100,26 +100,38 @@
 	detail string
 	// code is the HTTP status, or 0 without one.
 	code int
+	// replays counts how often net/http sent a read again by itself because its
+	// connection was closed without an answer.
+	replays uint64
 }
 
 // send makes one attempt at an entry.
 func send(ctx context.Context, client *http.Client, entry string, o *order, timeout time.Duration) result {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var connected atomic.Bool
+	var connections atomic.Uint64
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { connections.Add(1) },
 	})
 	req, err := newHTTPRequest(ctx, entry, o, timeout)
 	if err != nil {
 		return result{outcome: NotSent, detail: err.Error()}
 	}
+	r := exchange(client, req, o)
+	switch n := connections.Load(); {
+	case n > 1:
+		r.replays = n - 1
+	case n == 0:
+		r.outcome = NotSent
+	}
+	return r
+}
+
+// exchange sends the request and judges its answer.
+func exchange(client *http.Client, req *http.Request, o *order) result {
 	resp, err := client.Do(req)
 	if err != nil {
-		if connected.Load() {
-			return result{outcome: NoAnswer, detail: err.Error()}
-		}
-		return result{outcome: NotSent, detail: err.Error()}
+		return result{outcome: NoAnswer, detail: err.Error()}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
@@ -135,6 +147,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.kind.once() {
+		// With GetBody, net/http sends a request with an Idempotency-Key again by
+		// itself, and that attempt would not be counted.
+		req.GetBody = nil
+	}
 	req.Host = o.kind.Host
 	req.Header.Set(verdict.TimeoutHeader, strconv.FormatFloat(timeout.Seconds(), 'f', 3, 64))
 	// An entry node gives the request an identity of its own; a backend server
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +186,32 @@
 		require.ErrorContains(t, err, want)
 	}
 }
+
+// Guards against net/http repeating an order by itself, which it does for
+// requests with an Idempotency-Key on a reused connection, and against repeated
+// reads that are not counted.
+func TestTransportDoesNotRepeatOrders(t *testing.T) {
+	var posts, gets atomic.Int32
+	entry := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			posts.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		if gets.Add(1) == 3 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer entry.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	attempt := func(method string) result {
+		o, err := newOrder(&Team{}, &Kind{Method: method, Path: "/"}, "1")
+		require.NoError(t, err)
+		return send(t.Context(), client, entry.URL, o, time.Minute)
+	}
+	attempt(http.MethodGet)
+	require.Equal(t, NoAnswer, attempt(http.MethodPost).outcome)
+	require.Equal(t, int32(1), posts.Load())
+	attempt(http.MethodGet)
+	require.Equal(t, uint64(1), attempt(http.MethodGet).replays)
+}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -30,6 +30,9 @@
 	Sent uint64 `json:"sent"`
 	// Resent counts attempts after the first.
 	Resent uint64 `json:"resent"`
+	// Replayed counts reads that net/http sent again by itself after a connection
+	// was closed without an answer.
+	Replayed uint64 `json:"replayed"`
 	// Skipped counts arrivals beyond MaxInFlight; they were never sent.
 	Skipped uint64 `json:"skipped"`
 	// Answered to NotSent count requests by the outcome of the last attempt.
@@ -144,6 +147,7 @@
 	defer t.mu.Unlock()
 	c := &t.counts[team]
 	c.Sent++
+	c.Replayed += r.replays
 	switch r.outcome {
 	case Answered:
 		micros := min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros)
@@ -191,6 +195,7 @@
 	c.Requests += o.Requests
 	c.Sent += o.Sent
 	c.Resent += o.Resent
+	c.Replayed += o.Replayed
 	c.Skipped += o.Skipped
 	c.Answered += o.Answered
 	c.NotRun += o.NotRun
