Read both log heads at once and refuse more ambiguous paths

Attesters read the heads twice a second, and the read rate of the platform is planned for one read each. Some backend servers ignore segment parameters or treat a backslash as a slash, so a path such as /a/..;x/b could reach a route with other access. A router is kept when a change leaves the routes alone.

--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -255,13 +255,19 @@
 		version++
 		require.Equal(t, version, got)
 	}
+	before := m.Counts().Reads
+	heads, err := s.Heads(ctx)
+	require.NoError(t, err)
+	require.Equal(t, Heads{Members: 5}, heads)
+	require.EqualValues(t, 1, m.Counts().Reads-before, "attesters may read only once")
+
 	want := &MembersState{Version: 5, Members: map[string]Member{"b": member("b", "1", "b", "s")}}
 	again := New(m.Table(), m.Objects(), Options{SnapshotInterval: 5})
 	state, err := again.LoadMembers(ctx)
 	require.NoError(t, err)
 	require.Equal(t, want, state)
 	require.NoError(t, again.Snapshot(ctx))
-	before := m.Counts().Reads
+	before = m.Counts().Reads
 	state, err = New(m.Table(), m.Objects(), options()).LoadMembers(ctx)
 	require.NoError(t, err)
 	require.Equal(t, want, state)
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -22,13 +22,15 @@
 	membersLog logName = "members"
 )
 
-func (l logName) headKey() string     { return string(l) + "/head" }
+func (l logName) headKey() string     { return headPrefix + string(l) }
 func (l logName) entryPrefix() string { return string(l) + "/entry/" }
 func (l logName) entryKey(version uint64) string {
 	return versionKey(l.entryPrefix(), version)
 }
 
 const (
+	// headPrefix is common to the head rows, so that one scan reads both.
+	headPrefix   = "head/"
 	auditPrefix  = "config/audit/"
 	deltaPrefix  = "config/delta/"
 	commitPrefix = "config/commit/"
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -55,17 +55,27 @@
 	return s.failedSnapshot.Load()
 }
 
-// Heads returns the current versions. Errors: platform.ErrUnavailable, ErrCorruptLog.
+// Heads returns the current versions with a single read, because attesters call
+// it twice a second. Errors: platform.ErrUnavailable, ErrCorruptLog.
 func (s *Store) Heads(ctx context.Context) (Heads, error) {
-	config, _, err := s.head(ctx, configLog)
+	rows, err := s.table.Scan(ctx, headPrefix, "", 2)
 	if err != nil {
 		return Heads{}, err
 	}
-	members, _, err := s.head(ctx, membersLog)
-	if err != nil {
-		return Heads{}, err
+	var heads Heads
+	for _, row := range rows {
+		var head headRow
+		if err := decodeRow(row, &head); err != nil {
+			return Heads{}, err
+		}
+		switch row.Key {
+		case configLog.headKey():
+			heads.Config = head.Version
+		case membersLog.headKey():
+			heads.Members = head.Version
+		}
 	}
-	return Heads{Config: config, Members: members}, nil
+	return heads, nil
 }
 
 // head returns the version of a log and the revision of its head row; both are 0
--- a/rules/delta.go
+++ b/rules/delta.go
@@ -157,10 +157,10 @@
 
 // applyRoutes returns the changed routes in order, or the same list if nothing changes.
 func applyRoutes(routes []Route, removed, added *parser) []Route {
-	routes = sortedRoutes(routes)
 	if len(removed.routes) == 0 && len(added.routes) == 0 {
 		return routes
 	}
+	routes = sortedRoutes(routes)
 	drop := removed.routesToDrop(routes)
 	insert := added.collectRoutes()
 	next := make([]Route, 0, len(routes)-len(drop)+len(insert))
--- a/rules/parse_rules.go
+++ b/rules/parse_rules.go
@@ -8,8 +8,8 @@
 // What a word must be, for error messages.
 const (
 	expectedName    = "a name of up to 63 letters, digits, '.', '_' and '-'"
-	expectedPath    = "an absolute path without empty or dot segments"
-	expectedPattern = "an absolute path, exact or ending in /*, without empty or dot segments"
+	expectedPath    = "an absolute path without empty or dot segments and backslashes"
+	expectedPattern = "an absolute path, exact or ending in /*, without empty or dot segments and backslashes"
 	expectedFloor   = "floor <whole number from 1 to 1000000>"
 	expectedProbe   = "probe <path>"
 	expectedService = "service <name>"
--- a/rules/router.go
+++ b/rules/router.go
@@ -44,6 +44,15 @@
 	return r
 }
 
+// Update returns the router of a newer configuration, which is the same router if
+// the configuration shares its routes. Most changes concern keys, teams and zones.
+func (r *Router) Update(c *Config) *Router {
+	if len(r.routes) == len(c.Routes) && (len(c.Routes) == 0 || &r.routes[0] == &c.Routes[0]) {
+		return r
+	}
+	return NewRouter(c)
+}
+
 // startsGroup reports whether the route is the first one of its host and path.
 func (r *Router) startsGroup(i int) bool {
 	return i == 0 || r.routes[i].Host != r.routes[i-1].Host || r.routes[i].Path != r.routes[i-1].Path
@@ -74,8 +83,8 @@
 }
 
 // Match returns the route of a request. The host may carry a port; the path must
-// be decoded. A path with empty or dot segments matches no route, because a
-// backend server might resolve it to a path that another route protects.
+// be decoded. A path with empty or dot segments or a backslash matches no route,
+// because a backend server might resolve it to a path that another route protects.
 func (r *Router) Match(method, host, path string) (*Route, bool) {
 	if ambiguousPath(path) {
 		return nil, false
--- a/rules/router_test.go
+++ b/rules/router_test.go
@@ -42,6 +42,10 @@
 		{"POST", "other.example", "/orders", "POST /orders"},
 		{"GET", "", "/a/../orders", ""},
 		{"GET", "", "//a/b/c", ""},
+		{"GET", "", "/a/..;x/orders", ""},
+		{"GET", "", "/a/..\\orders", ""},
+		{"GET", "", "/a/.well-known", "GET /a/*"},
+		{"GET", "", "/a/...", "GET /a/*"},
 		{"GET", "", "/a/.", ""},
 		{"GET", "", "", ""},
 		{"GET", "", "a/b", ""},
@@ -54,7 +58,14 @@
 		}
 		require.Equal(t, tt.want, got, "%s %s%s", tt.method, tt.host, tt.path)
 	}
-	_, ok := NewRouter(NewConfig()).Match("GET", "h", "/")
+	next, err := c.Apply(Delta{Added: []string{"zone z out # A: b"}})
+	require.NoError(t, err)
+	require.Same(t, r, r.Update(next), "unchanged routes need no new router")
+	next, err = c.Apply(Delta{Added: []string{"route PUT /new service s access team repeat once # A: b"}})
+	require.NoError(t, err)
+	_, ok := r.Update(next).Match("PUT", "", "/new")
+	require.True(t, ok)
+	_, ok = NewRouter(NewConfig()).Match("GET", "h", "/")
 	require.False(t, ok)
 }
 
--- a/rules/values.go
+++ b/rules/values.go
@@ -156,11 +156,11 @@
 	return validPath(text)
 }
 
-// ambiguousPath reports whether the path is not absolute or has empty or dot
-// segments. A backend server might resolve such a path to one that another
-// route protects.
+// ambiguousPath reports whether the path is not absolute, or has empty or dot
+// segments or a backslash. A backend server might resolve such a path to one that
+// another route protects. Some servers ignore the part of a segment after ';'.
 func ambiguousPath(path string) bool {
-	if path == "" || path[0] != '/' {
+	if path == "" || path[0] != '/' || strings.IndexByte(path, '\\') >= 0 {
 		return true
 	}
 	for i := 0; i < len(path); {
@@ -169,14 +169,24 @@
 		if end := strings.IndexByte(segment, '/'); end >= 0 {
 			segment, last = segment[:end], false
 		}
-		if segment == "." || segment == ".." || segment == "" && !last {
+		i += 1 + len(segment)
+		if isDotSegment(segment) || segment == "" && !last {
 			return true
 		}
-		i += 1 + len(segment)
 	}
 	return false
 }
 
+// isDotSegment reports whether the segment is "." or "..", with or without
+// parameters after ';'.
+func isDotSegment(segment string) bool {
+	if segment == "" || segment[0] != '.' {
+		return false
+	}
+	segment, _, _ = strings.Cut(segment, ";")
+	return segment == "." || segment == ".."
+}
+
 // validCommentText reports whether the text can stand in a comment unchanged.
 func validCommentText(text string) bool {
 	if !utf8.ValidString(text) {
