Make the random histories of admission reach all slots

The disabled rules for exclusive requests, the trial slot and the team queue survived: the limit never left one slot and the total bound hid the team bound.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -116,15 +116,17 @@
 	c := warm(t, 1, Config{TeamQueue: 4, TotalQueue: 6})
 	occupy(t, c, 1)
 	var newest Ticket
-	for _, team := range []string{"a", "a", "a", "a", "b", "b"} {
-		d, _ := c.Offer(at(0), Request{Team: team})
+	for range 4 {
+		d, _ := c.Offer(at(0), Request{Team: "a"})
 		require.Equal(t, Queued, d.Outcome)
-		if team == "a" {
-			newest = d.Ticket
-		}
+		newest = d.Ticket
 	}
 	d, _ := c.Offer(at(0), Request{Team: "a"})
-	require.Equal(t, CodeQueueFull, d.Code)
+	require.Equal(t, CodeQueueFull, d.Code, "the queue of the team is full")
+	for range 2 {
+		d, _ := c.Offer(at(0), Request{Team: "b"})
+		require.Equal(t, Queued, d.Outcome)
+	}
 	d, others := c.Offer(at(0), Request{Team: "c"})
 	require.Equal(t, Queued, d.Outcome)
 	require.Len(t, others, 1)
@@ -195,6 +197,10 @@
 	c.SetState(at(0), Trial)
 	d, _ := c.Offer(at(0), Request{Team: "t"})
 	require.Equal(t, CodeTrial, d.Code)
+	for i := range 8 {
+		d, _ = c.Offer(at(-100+10*i), Request{Team: "t", Idempotent: true})
+		c.Done(at(-90+10*i), d.Ticket, Success)
+	}
 	occupy(t, c, 1)
 	d, _ = c.Offer(at(0), Request{Team: "t", Idempotent: true})
 	require.Equal(t, Queued, d.Outcome)
@@ -205,7 +211,7 @@
 // idempotent, a start past its deadline, and (asserted inside) running > limit.
 func TestRandomHistories(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		h := &history{rt: rt, c: New(Config{TeamQueue: 5, TotalQueue: 12}), reqs: map[Ticket]Request{}, started: map[Ticket]bool{}}
+		h := &history{rt: rt, c: New(Config{TeamQueue: 5, TotalQueue: 12, SuccessesPerSlot: 1, StepFactor: 1e6}), reqs: map[Ticket]Request{}, started: map[Ticket]bool{}}
 		h.c.Announce(at(0), Announcement{Slots: 3, Incarnation: "a"})
 		for now := range rapid.IntRange(20, 300).Draw(rt, "steps") {
 			h.step(now * 7)
@@ -235,18 +241,18 @@
 
 func (h *history) step(ms int) {
 	draw := func(n int, name string) int { return rapid.IntRange(0, n-1).Draw(h.rt, name) }
-	switch draw(12, "op") {
+	switch draw(30, "op") {
 	case 0:
 		h.decide(ms, h.c.SetState(at(ms), []State{Serving, Serving, Trial, Leaving, Ejected}[draw(5, "state")]))
 	case 1:
-		h.decide(ms, h.c.Announce(at(ms), Announcement{Slots: draw(5, "slots"), Incarnation: string(rune('a' + draw(2, "inc")))}))
+		h.decide(ms, h.c.Announce(at(ms), Announcement{Slots: draw(5, "slots"), Incarnation: string(rune('a' + draw(9, "inc")/8))}))
 	case 2:
 		h.decide(ms, h.c.Expire(at(ms)))
-	case 3, 4, 5, 6, 7:
-		if t := Ticket(draw(int(h.c.lastTicket)+1, "ticket")); h.started[t] {
+	case 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14:
+		if t := h.pick(draw(4, "ticket")); h.started[t] {
 			delete(h.started, t)
 			delete(h.reqs, t)
-			h.decide(ms, h.c.Done(at(ms), t, Result(draw(4, "result"))))
+			h.decide(ms, h.c.Done(at(ms), t, []Result{Success, Success, Success, Failure, Shed, Canceled}[draw(6, "result")]))
 		}
 	default:
 		req := Request{Team: string(rune('a' + draw(3, "team"))), Weight: uint32(draw(4, "weight")), Idempotent: draw(2, "idem") == 0, Exclusive: draw(5, "excl") == 0, TwoPhase: draw(4, "two") == 0}
@@ -260,6 +266,18 @@
 	}
 }
 
+// pick returns the nth oldest started ticket, or 0.
+func (h *history) pick(n int) Ticket {
+	for t := Ticket(1); t <= h.c.lastTicket; t++ {
+		if h.started[t] {
+			if n--; n < 0 {
+				return t
+			}
+		}
+	}
+	return 0
+}
+
 func (h *history) decide(ms int, ds []Decision) {
 	for _, d := range ds {
 		req, known := h.reqs[d.Ticket]
