Run requests from end to end through two nodes

A node accepts callers, authenticates by key digest, spends a token of the team's rate, claims idempotency keys at their home, and forwards requests to the owner of a backend server over a yamux link. One control goroutine keeps configuration, members and attestations.

Two causes of slow starts were found with six nodes: a node that was fresh by its own table read stopped reading until that read expired, so each join took 3.5 s; and a node that lost a race waited for the next tick.

The caller now reads the answer in any case.

--- a/link/pool.go
+++ b/link/pool.go
@@ -66,12 +66,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = s.SetDeadline(deadline)
 	}
-	if err := s.Send(&wire.Envelope{Body: &wire.Envelope_Call{Call: call}}); err != nil {
-		return nil, err
-	}
+	// A peer that refuses the call may close the session before the write is
+	// confirmed here; its answer is then already in the receive buffer.
+	sendErr := s.Send(&wire.Envelope{Body: &wire.Envelope_Call{Call: call}})
 	reply, err := s.Recv()
 	if err != nil {
-		return nil, err
+		return nil, errors.CombineErrors(sendErr, err)
 	}
 	a := reply.GetAnswer()
 	if a == nil {
--- a/node/execute.go
+++ b/node/execute.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoildock.example/admission"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
@@ -47,7 +49,7 @@
 		if n > 0 {
 			pending = append(pending, chunkEnvelope(buf[:n], false))
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			finish(answerResult(resp.StatusCode))
 			end := endEnvelope(&wire.End{BodyBytes: sent, Load: o.load(offer.GetService())})
 			return send(x, append(pending, end))
@@ -76,7 +78,7 @@
 }
 
 func (o *owner) cutAnswer(ctx context.Context, err error) error {
-	if ctx.Err() == context.DeadlineExceeded {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return timeoutError(err)
 	}
 	o.metrics.cutAnswers.Inc(1)
--- /dev/null
+++ b/node/home_claims.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoildock.example/idempotency"
+	"trefoildock.example/placement"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+// claims serves the idempotency keys whose home is this node.
+type claims struct {
+	homes *homes
+
+	mu    sync.Mutex
+	store *idempotency.Store
+}
+
+func newClaims(h *homes) *claims {
+	return &claims{homes: h, store: idempotency.NewStore(time.Now(), idempotency.DefaultLimits())}
+}
+
+// answer decides a claim. The clock is read after the message has arrived and
+// under the locks, as package idempotency demands.
+func (c *claims) answer(m *wire.Claim) *wire.Answer {
+	name := claimName(m.GetTeam(), m.GetKey())
+	partition := placement.Partition(kindClaim, name)
+	c.homes.mu.RLock()
+	defer c.homes.mu.RUnlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.homes.active(kindClaim, name, now) {
+		return claimAnswer(idempotency.Answer{Outcome: idempotency.NotHome, Detail: "this node is not the home of the key"})
+	}
+	memory, ok := c.homes.table.MemorySince(partition, c.homes.node.settings.Node.Name)
+	if !ok {
+		return claimAnswer(idempotency.Answer{Outcome: idempotency.NotHome, Detail: "the home of the key does not serve yet"})
+	}
+	return claimAnswer(c.store.Claim(now, now, idempotency.Request{
+		Team: m.GetTeam(), Key: m.GetKey(), Fingerprint: m.GetFingerprint(), RequestID: m.GetRequestId(),
+		Deadline:  now.Add(time.Duration(m.GetTimeoutUs()) * time.Microsecond),
+		Partition: partition, Memory: idempotency.Memory{Complete: memory.Complete, Since: memory.Since},
+	}))
+}
+
+func claimAnswer(a idempotency.Answer) *wire.Answer {
+	v := verdict.MayHaveRun
+	if a.Outcome == idempotency.Done {
+		v = verdict.Completed
+	}
+	return &wire.Answer{Body: &wire.Answer_Claim{Claim: &wire.ClaimAnswer{
+		Outcome: uint32(a.Outcome), Stored: a.Response, Verdict: wire.VerdictTo(v), Detail: a.Detail,
+	}}}
+}
+
+// answerDone records the result of a claimed request. A result for a claim
+// that is not known is ignored: the claim's patience ends without it.
+func (c *claims) answerDone(m *wire.ClaimDone) *wire.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := wire.VerdictFrom(m.GetVerdict())
+	if v == verdict.NotRun {
+		c.store.Release(m.GetTeam(), m.GetKey(), m.GetRequestId())
+	} else {
+		c.store.Done(m.GetTeam(), m.GetKey(), m.GetRequestId(), v == verdict.Completed, m.GetStored())
+	}
+	return &wire.Answer{Body: &wire.Answer_ClaimDone{ClaimDone: &wire.ClaimDoneAnswer{}}}
+}
+
+// export seals the store and returns its claims and the memories of the
+// partitions that this node serves. From then on it grants nothing.
+func (c *claims) export() ([]*wire.HeldClaim, []*wire.HeldMemory) {
+	h := c.homes
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	held := c.store.Export(now)
+	if h.table == nil || !h.node.fresh(now) {
+		return nil, nil
+	}
+	claims := make([]*wire.HeldClaim, len(held))
+	for i := range held {
+		claims[i] = heldToWire(&held[i])
+	}
+	self := h.node.settings.Node.Name
+	var memories []*wire.HeldMemory
+	for _, p := range h.mine {
+		m, ok := h.table.MemorySince(int(p), self)
+		if ok && h.table.Active(int(p), self, now) {
+			memories = append(memories, &wire.HeldMemory{Partition: p, Complete: m.Complete, AgeUs: ageOf(m, now)})
+		}
+	}
+	return claims, memories
+}
+
+func ageOf(m placement.Memory, now time.Time) int64 {
+	if m.Complete {
+		return 0
+	}
+	return now.Sub(m.Since).Microseconds()
+}
+
+// handOver sends the exported claims to the homes that the leave of this node
+// made, in messages below the size limit.
+func (c *claims) handOver(ctx context.Context, version uint64, claims []*wire.HeldClaim, memories []*wire.HeldMemory) {
+	calls := make(map[string]*wire.ClaimHandover)
+	get := func(partition uint32) *wire.ClaimHandover {
+		name := c.homes.homeOfPartition(int(partition))
+		if calls[name] == nil {
+			calls[name] = &wire.ClaimHandover{MembersVersion: version}
+		}
+		return calls[name]
+	}
+	for _, m := range memories {
+		h := get(m.GetPartition())
+		h.Memories = append(h.Memories, m)
+	}
+	for _, held := range claims {
+		h := get(held.GetPartition())
+		h.Claims = append(h.Claims, held)
+	}
+	delete(calls, "")
+	var wg sync.WaitGroup
+	for name, handover := range calls {
+		wg.Go(func() { c.sendHandover(ctx, name, handover) })
+	}
+	wg.Wait()
+}
+
+// sendHandover repeats the call until the receiver has applied the leave.
+func (c *claims) sendHandover(ctx context.Context, name string, handover *wire.ClaimHandover) {
+	dropLargeResponses(handover)
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
+		_, err := c.homes.call(callCtx, name, &wire.Call{Body: &wire.Call_ClaimHandover{ClaimHandover: handover}})
+		cancel()
+		if err == nil || !wait(ctx, controlInterval/5) {
+			return
+		}
+	}
+}
+
+// dropLargeResponses keeps the message below the size limit: verdicts are
+// needed, stored answers are only convenient.
+func dropLargeResponses(h *wire.ClaimHandover) {
+	size := 0
+	for _, held := range h.GetClaims() {
+		size += len(held.GetResponse())
+		if size > wire.MaxMessageBytes/2 {
+			held.Response = nil
+		}
+	}
+}
+
+// answerHandover takes over the claims of a home that stopped.
+func (c *claims) answerHandover(m *wire.ClaimHandover) *wire.Answer {
+	h := c.homes
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.table == nil || h.table.Version() < m.GetMembersVersion() {
+		return &wire.Answer{Error: "the member change is not known here yet"}
+	}
+	now := time.Now()
+	held := make([]idempotency.Handover, len(m.GetClaims()))
+	for i, w := range m.GetClaims() {
+		held[i] = heldFromWire(w)
+	}
+	if err := c.store.Import(now, held, 0); err != nil {
+		return &wire.Answer{Body: &wire.Answer_ClaimDone{ClaimDone: &wire.ClaimDoneAnswer{}}} // Without the memory old keys stay uncertain.
+	}
+	for _, w := range m.GetMemories() {
+		if w.GetPartition() >= placement.Partitions {
+			continue
+		}
+		memory := placement.Memory{Complete: w.GetComplete(), Since: now.Add(-time.Duration(w.GetAgeUs()) * time.Microsecond)}
+		h.table.Inherit(int(w.GetPartition()), m.GetMembersVersion(), memory, now)
+	}
+	return &wire.Answer{Body: &wire.Answer_ClaimDone{ClaimDone: &wire.ClaimDoneAnswer{}}}
+}
+
+func heldToWire(h *idempotency.Handover) *wire.HeldClaim {
+	return &wire.HeldClaim{
+		Partition: uint32(h.Partition), Digest: h.Digest[:], Fingerprint: h.Fingerprint, Request: h.Request,
+		AgeUs: h.Age.Microseconds(), PatienceUs: h.Patience.Microseconds(),
+		Finished: h.Finished, Completed: h.Completed, Response: h.Response,
+	}
+}
+
+func heldFromWire(w *wire.HeldClaim) idempotency.Handover {
+	h := idempotency.Handover{
+		Partition: int(w.GetPartition()), Fingerprint: w.GetFingerprint(), Request: w.GetRequest(),
+		Age: time.Duration(w.GetAgeUs()) * time.Microsecond, Patience: time.Duration(w.GetPatienceUs()) * time.Microsecond,
+		Finished: w.GetFinished(), Completed: w.GetCompleted(), Response: w.GetResponse(),
+	}
+	copy(h.Digest[:], w.GetDigest())
+	return h
+}
--- /dev/null
+++ b/node/membership.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/freshness"
+	"trefoildock.example/wire"
+)
+
+// maxMisses is the number of unanswered pings after which a monitor asks the
+// other monitors: 1.5 s at one ping each 500 ms.
+const maxMisses = 3
+
+// ensureMember joins the fleet or updates this node's member record.
+func (c *control) ensureMember(ctx context.Context, now time.Time) {
+	if c.leaving || c.joining || c.tableDown || !c.caughtUp() {
+		return
+	}
+	self := c.node.member()
+	current, known := c.members[self.Node]
+	kind := configstore.MemberUpdate
+	switch {
+	case !known || current.Incarnation != self.Incarnation:
+		kind = configstore.MemberJoin
+		if c.wasRemoved(known) {
+			c.rejoin()
+			self = c.node.member()
+		}
+		if !known && c.changesAttesters(func(t *freshness.Topology) { t.Add(self.Node, self.Zone) }) && !c.state.AttestersSettled(now) {
+			return
+		}
+	case slices.Equal(current.Services, self.Services) && current.LinkAddress == self.LinkAddress:
+		return
+	}
+	c.commitMember(ctx, configstore.MemberChange{Kind: kind, Member: self}, func(uint64) {})
+}
+
+// caughtUp reports whether the node holds everything that was attested to it.
+func (c *control) caughtUp() bool {
+	return c.state.Held().Covers(c.state.Highest())
+}
+
+// wasRemoved reports whether this process was a member before and is none now.
+func (c *control) wasRemoved(known bool) bool {
+	return !known && c.node.joined
+}
+
+// rejoin takes a new incarnation after a removal, so that shares and claims of
+// the removed one cannot be mistaken for new ones.
+func (c *control) rejoin() {
+	c.node.joined = false
+	c.node.renew()
+	c.logger.Log("event", "removed from the fleet; joining again", "incarnation", c.node.incarnation())
+}
+
+// changesAttesters reports whether a change of the topology alters the set of
+// attesters. The change is made on a copy.
+func (c *control) changesAttesters(change func(*freshness.Topology)) bool {
+	before := c.topology.Attesters()
+	t := freshness.NewTopology()
+	for _, m := range c.members {
+		t.Add(m.Node, m.Zone)
+	}
+	change(t)
+	return !slices.Equal(before, t.Attesters())
+}
+
+// commitMember writes a change to the members log and pushes it to the
+// attesters. done runs on the control goroutine.
+func (c *control) commitMember(ctx context.Context, change configstore.MemberChange, done func(version uint64)) {
+	c.joining = true
+	change.By = c.node.settings.Node.Name
+	version := c.membersVersion
+	addresses := c.attesterAddresses()
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
+		defer cancel()
+		committed, err := c.node.store.CommitMember(callCtx, configstore.MemberCommit{ReadVersion: version, Change: change})
+		c.post(ctx, func() {
+			c.joining = false
+			if err == nil {
+				c.memberCommitted(ctx, change, committed, addresses)
+			} else {
+				c.node.metrics.memberConflicts.Inc(1)
+				c.readTable(ctx) // Another node was faster, or the outcome is unknown.
+			}
+			done(committed)
+		})
+	}()
+}
+
+func (c *control) memberCommitted(ctx context.Context, change configstore.MemberChange, version uint64, addresses []string) {
+	entry := &wire.MemberChange{Version: version, Kind: string(change.Kind), Member: memberToWire(change.Member)}
+	c.applyMembers([]*wire.MemberChange{entry}, time.Now())
+	if change.Member.Node == c.node.settings.Node.Name && change.Kind == configstore.MemberJoin {
+		c.node.joined = true
+	}
+	want := freshness.Versions{Members: version}
+	go c.node.push(ctx, addresses, &wire.Acknowledge{Members: []*wire.MemberChange{entry}}, want)
+}
+
+// attesterAddresses returns the link addresses of the attesters.
+func (c *control) attesterAddresses() []string {
+	var out []string
+	for _, name := range c.topology.Attesters() {
+		if m, ok := c.members[name]; ok {
+			out = append(out, m.LinkAddress)
+		}
+	}
+	return out
+}
+
+// pingMonitored pings the nodes that this node monitors.
+func (c *control) pingMonitored(ctx context.Context) {
+	for _, name := range c.ring.monitored(c.node.settings.Node.Name) {
+		m := c.members[name]
+		c.once(ctx, "ping "+name, func(callCtx context.Context) {
+			alive := c.node.ping(callCtx, m.LinkAddress, "")
+			c.post(ctx, func() { c.pinged(ctx, m, alive) })
+		})
+	}
+}
+
+// ping asks the node at address whether it, or the target that it names, is alive.
+func (n *Node) ping(ctx context.Context, address, target string) bool {
+	ctx, cancel := context.WithTimeout(ctx, controlInterval)
+	defer cancel()
+	a, err := n.pool.Call(ctx, address, &wire.Call{Body: &wire.Call_Ping{Ping: &wire.Ping{Target: target}}})
+	if err != nil || a.GetPing() == nil {
+		return false
+	}
+	return target == "" || a.GetPing().GetTargetAlive()
+}
+
+func (c *control) pinged(ctx context.Context, m configstore.Member, alive bool) {
+	if alive {
+		delete(c.misses, m.Node)
+		return
+	}
+	c.misses[m.Node]++
+	if c.misses[m.Node] >= maxMisses {
+		c.confirmLoss(ctx, m)
+	}
+}
+
+// confirmLoss asks the other monitors of a silent node and removes it if none
+// of them hears it. A monitor that cannot be asked does not count as a witness
+// of life, because it may have failed with the node.
+func (c *control) confirmLoss(ctx context.Context, m configstore.Member) {
+	var others []string
+	for _, name := range c.ring.monitors(m.Node) {
+		if o, ok := c.members[name]; ok && name != c.node.settings.Node.Name {
+			others = append(others, o.LinkAddress)
+		}
+	}
+	c.once(ctx, "confirm "+m.Node, func(callCtx context.Context) {
+		heard := false
+		for _, address := range others {
+			heard = heard || c.node.ping(callCtx, address, m.Node)
+		}
+		c.post(ctx, func() { c.lossConfirmed(ctx, m, heard) })
+	})
+}
+
+func (c *control) lossConfirmed(ctx context.Context, m configstore.Member, heard bool) {
+	if heard {
+		c.misses[m.Node] = 0
+		return
+	}
+	now := time.Now()
+	current, known := c.members[m.Node]
+	if !known || current.Incarnation != m.Incarnation || c.misses[m.Node] < maxMisses || !c.state.Fresh(now) {
+		return
+	}
+	if c.joining || c.tableDown {
+		return // The next missed ping tries again.
+	}
+	if c.changesAttesters(func(t *freshness.Topology) { t.Remove(m.Node) }) && !c.state.AttestersSettled(now) {
+		return
+	}
+	c.logger.Log("event", "removing a silent node", "node", m.Node, "misses", c.misses[m.Node])
+	c.commitMember(ctx, configstore.MemberChange{Kind: configstore.MemberRemove, Member: current}, func(uint64) {})
+}
+
+// leave takes this node out of the member list before a planned stop and sends
+// the version of the change, or 0 if it could not be written.
+func (c *control) leave(ctx context.Context, done chan<- uint64) {
+	c.leaving = true
+	self, known := c.members[c.node.settings.Node.Name]
+	if !known {
+		done <- 0
+		return
+	}
+	c.commitMember(ctx, configstore.MemberChange{Kind: configstore.MemberLeave, Member: self}, func(version uint64) {
+		if version > 0 {
+			done <- version
+			return
+		}
+		if c.tableDown {
+			done <- 0
+			return
+		}
+		time.AfterFunc(controlInterval, func() { c.post(ctx, func() { c.leave(ctx, done) }) })
+	})
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -11,6 +11,8 @@
 	dispatched, cutAnswers, crossedAnswers  metrics.Counter
 	abortedStreams                          metrics.Counter
 	announcementsRefused, linkErrors        metrics.Counter
+	badDeltas, pullErrors, tableErrors      metrics.Counter
+	memberConflicts                         metrics.Counter
 	rateRefused, claimRefused               metrics.Counter
 	latency, backendLatency                 metrics.Timer
 }
@@ -25,6 +27,8 @@
 		dispatched: c("owner.dispatched"), cutAnswers: c("owner.answers.cut"),
 		crossedAnswers: c("answers.crossed"), abortedStreams: c("answers.aborted"),
 		announcementsRefused: c("owner.announcements.refused"), linkErrors: c("link.errors"),
+		badDeltas: c("control.deltas.refused"), pullErrors: c("control.pulls.failed"),
+		tableErrors: c("control.table.failed"), memberConflicts: c("control.members.conflicts"),
 		rateRefused: c("requests.refused.rate"), claimRefused: c("requests.refused.claim"),
 		latency: metrics.NewRegisteredTimer("requests.latency", r), backendLatency: metrics.NewRegisteredTimer("owner.latency", r),
 	}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,253 @@
+// Package node is the process that runs beside each backend server.
+//
+// A node plays several roles at once. As entry it accepts the requests of
+// callers, checks key, rate and idempotency key, and forwards each request to an
+// owner. As owner it is the only node that sends work to the backend servers on
+// its VM. As home it keeps the claims, rate ledgers and ejection permits of the
+// partitions that are placed on it. One goroutine owns the control state
+// (configuration, members, attestations); the goroutines that carry traffic read
+// published snapshots of it.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/link"
+	"trefoildock.example/settings"
+)
+
+// Dependencies are what a node needs from outside.
+type Dependencies struct {
+	// Store reads and writes the logs on the platform's table.
+	Store *configstore.Store
+	// Logger receives one line for each change of state.
+	Logger log.Logger
+	// Registry holds the metrics.
+	Registry metrics.Registry
+	// LinkServerTLS and LinkClientTLS secure links between nodes; nil allows
+	// loopback only.
+	LinkServerTLS, LinkClientTLS *tls.Config
+	// TrafficTLS secures the callers' connections; nil means plain HTTP.
+	TrafficTLS *tls.Config
+}
+
+// Node is one node of the fleet.
+type Node struct {
+	settings   *settings.Settings
+	store      *configstore.Store
+	logger     log.Logger
+	registry   metrics.Registry
+	metrics    *trafficMetrics
+	gauges     *stateGauges
+	deps       Dependencies
+	start      time.Time
+	snapshot   atomic.Pointer[snapshot]
+	freshTill  atomic.Int64 // nanoseconds since start; 0 if not fresh
+	leavingNow atomic.Bool
+	identity   atomic.Pointer[string]
+
+	pool      *link.Pool
+	forwarder *forwarder
+	owner     *owner
+	control   *control
+	homes     *homes
+	rates     *rates
+	retries   *retries
+
+	// joined is owned by the control goroutine: this incarnation is a member.
+	joined bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	linkServer *link.Server
+	servers    []*http.Server
+	traffic    *http.Server
+}
+
+// New returns a node that is not yet running.
+func New(s *settings.Settings, d Dependencies) *Node {
+	n := &Node{
+		settings: s, store: d.Store, logger: d.Logger, registry: d.Registry, deps: d, start: time.Now(),
+		metrics: newTrafficMetrics(d.Registry), gauges: newStateGauges(d.Registry),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.renew()
+	n.snapshot.Store(emptySnapshot())
+	identity := link.Identity{Node: s.Node.Name, Incarnation: n.incarnation(), Cluster: s.Node.Cluster}
+	n.pool = &link.Pool{Identity: identity, TLS: d.LinkClientTLS}
+	n.owner = newOwner(n.metrics, d.Logger)
+	n.owner.stateOf = n.backendState
+	n.forwarder = &forwarder{
+		self: s.Node.Name, zone: s.Node.Zone, pool: n.pool, loads: newLoadTable(),
+		serveLocal: n.owner.serve, metrics: n.metrics,
+	}
+	n.homes = newHomes(n)
+	n.rates = newRates(n)
+	n.retries = newRetries()
+	n.control = newControl(n)
+	n.linkServer = &link.Server{Identity: identity, TLS: d.LinkServerTLS, Handler: n, OnError: n.linkError}
+	return n
+}
+
+// renew takes a new incarnation. UUIDv7 strings sort in the order of starts.
+func (n *Node) renew() {
+	id := uuid.Must(uuid.NewV7()).String()
+	n.identity.Store(&id)
+	if n.rates != nil {
+		n.rates.reset()
+	}
+}
+
+func (n *Node) incarnation() string { return *n.identity.Load() }
+
+func (n *Node) linkError(err error) {
+	n.metrics.linkErrors.Inc(1)
+	n.logger.Log("event", "link refused or closed", "err", err)
+}
+
+// member returns the record that this node publishes about itself.
+func (n *Node) member() configstore.Member {
+	s := n.settings
+	return configstore.Member{
+		Node: s.Node.Name, VM: s.Node.VM, Zone: s.Node.Zone, Region: s.Node.Region,
+		LinkAddress: s.Listen.Link, Incarnation: n.incarnation(), Services: n.owner.services(),
+	}
+}
+
+// fresh reports whether the node may do work that needs agreement.
+func (n *Node) fresh(now time.Time) bool {
+	until := n.freshTill.Load()
+	return until != 0 && now.Sub(n.start) <= time.Duration(until)
+}
+
+func (n *Node) setFreshUntil(t time.Time) {
+	if t.IsZero() {
+		n.freshTill.Store(0)
+		return
+	}
+	n.freshTill.Store(int64(t.Sub(n.start)))
+}
+
+// Start opens the listeners and starts to serve. On error nothing keeps running.
+func (n *Node) Start() error {
+	listeners, err := n.listen()
+	if err != nil {
+		n.cancel()
+		return err
+	}
+	n.wg.Go(func() { n.control.run(n.ctx) })
+	n.wg.Go(func() { n.rates.run(n.ctx) })
+	n.wg.Go(func() { _ = n.linkServer.Serve(listeners.link) })
+	n.wg.Go(func() { <-n.ctx.Done(); listeners.link.Close() })
+	n.serveHTTP(listeners)
+	n.logger.Log("event", "node started", "node", n.settings.Node.Name, "zone", n.settings.Node.Zone, "incarnation", n.incarnation())
+	return nil
+}
+
+// Stop shuts the node down gracefully: it first takes no new work as owner,
+// leaves the member list, lets running requests finish and callers go elsewhere,
+// and only then closes its listeners. ctx bounds the whole stop.
+func (n *Node) Stop(ctx context.Context) error {
+	n.leavingNow.Store(true)
+	n.owner.tick(time.Now())
+	n.logger.Log("event", "node leaving", "in_flight", n.owner.inFlight())
+	claims, memories := n.homes.claims.export()
+	if version := n.leave(ctx); version > 0 {
+		n.homes.claims.handOver(ctx, version, claims, memories)
+	}
+	n.drain(ctx)
+	err := n.traffic.Shutdown(ctx)
+	for n.owner.inFlight() > 0 && wait(ctx, 10*time.Millisecond) {
+	}
+	n.Close()
+	return errors.Wrap(err, "shut down the caller listener")
+}
+
+// leave takes this node out of the member list and returns the version of the
+// change, or 0 if the table could not be reached.
+func (n *Node) leave(ctx context.Context) uint64 {
+	left := make(chan uint64, 1)
+	n.control.post(ctx, func() { n.control.leave(n.ctx, left) })
+	select {
+	case version := <-left:
+		return version
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// drain waits until no request of this node's entry or owner is in flight, at
+// least for the time that the change needs to reach all entries.
+func (n *Node) drain(ctx context.Context) {
+	if !wait(ctx, leaveNotice) {
+		return
+	}
+	for n.owner.inFlight() > 0 && wait(ctx, 10*time.Millisecond) {
+	}
+}
+
+// leaveNotice is the time that a change needs to reach all nodes of a zone:
+// three pulls at 500 ms each and a margin.
+const leaveNotice = 2 * time.Second
+
+// Close stops at once. Running requests are cut.
+func (n *Node) Close() {
+	n.cancel()
+	for _, s := range n.servers {
+		s.Close()
+	}
+	n.linkServer.Close()
+	n.pool.Close()
+	n.wg.Wait()
+}
+
+// listeners are the open sockets of a node.
+type listeners struct {
+	link, traffic, announce, metrics net.Listener
+}
+
+// listen opens all sockets. The link socket comes first: it is exclusive on the
+// VM, so a second process cannot become owner while this one lives.
+func (n *Node) listen() (*listeners, error) {
+	l := &listeners{}
+	for _, e := range []struct {
+		at      string
+		ln      *net.Listener
+		purpose string
+	}{
+		{n.settings.Listen.Link, &l.link, "link"},
+		{n.settings.Listen.Traffic, &l.traffic, "traffic"},
+		{n.settings.Listen.Announce, &l.announce, "announce"},
+		{n.settings.Listen.Metrics, &l.metrics, "metrics"},
+	} {
+		ln, err := net.Listen("tcp", e.at)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "listen for %s on %s", e.purpose, e.at)
+		}
+		*e.ln = ln
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.link, l.traffic, l.announce, l.metrics} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
--- /dev/null
+++ b/node/perform.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoildock.example/idempotency"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+const (
+	// claimTimeout bounds one question to the home of an idempotency key.
+	claimTimeout = time.Second
+	// doneAttempts is how often the result of a claimed request is reported.
+	doneAttempts = 3
+	// maxStoredBytes is the largest answer that a home stores.
+	maxStoredBytes = 4 << 10
+	// replayedHeader marks an answer that the home had stored.
+	replayedHeader = "Idempotency-Replayed"
+)
+
+// perform runs a request: at most once if its route demands it.
+func (n *Node) perform(ctx context.Context, snap *snapshot, r *request) (*answer, error) {
+	if r.idempotent || r.idempotencyKey == "" {
+		return n.attempts(ctx, snap, r)
+	}
+	stored, err := n.claim(ctx, r)
+	if err != nil || stored != nil {
+		return stored, err
+	}
+	a, err := n.attempts(ctx, snap, r)
+	n.settleClaim(r, a, err)
+	return a, err
+}
+
+// attempts sends the request to up to maxAttempts owners.
+func (n *Node) attempts(ctx context.Context, snap *snapshot, r *request) (*answer, error) {
+	n.retries.request(r.service)
+	owners := snap.owners[r.service]
+	tried := make(map[string]bool, maxAttempts)
+	var last *verdict.Error
+	for {
+		o := n.forwarder.choose(owners, r.service, tried, time.Now())
+		if o == nil {
+			return nil, noOwner(last)
+		}
+		tried[o.node] = true
+		n.forwarder.loads.begin(o.node, r.service)
+		a, err := n.forwarder.attempt(ctx, o, r)
+		n.forwarder.loads.end(o.node, r.service)
+		if err == nil {
+			return a, nil
+		}
+		last = verdict.From(err)
+		if !n.mayRetry(ctx, r, last, o, len(tried)) {
+			return nil, last
+		}
+	}
+}
+
+// mayRetry decides about another attempt. A refusal by an owner that takes no
+// new work is a redirect: it costs no backend server any work, so it does not
+// use the retry budget.
+func (n *Node) mayRetry(ctx context.Context, r *request, e *verdict.Error, o *ownerRef, attempts int) bool {
+	if !r.body.replayable() || attempts >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	if e.Verdict == verdict.NotRun && n.forwarder.loads.outOfService(o.node, r.service) {
+		n.metrics.redirects.Inc(1)
+		return true
+	}
+	if !n.retries.allow(r.service, e, r.idempotent, attempts) {
+		return false
+	}
+	n.metrics.retries.Inc(1)
+	return true
+}
+
+func noOwner(last *verdict.Error) error {
+	if last != nil {
+		return last
+	}
+	return verdict.Refuse("no-owner", "no backend server of the service is known", time.Second)
+}
+
+// claim asks the home of the idempotency key whether the request may run. It
+// returns a stored answer, or an error, or neither if the request may run.
+func (n *Node) claim(ctx context.Context, r *request) (*answer, error) {
+	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	a, err := n.homes.callHome(callCtx, kindClaim, claimName(r.team, r.idempotencyKey), &wire.Call{Body: &wire.Call_Claim{Claim: &wire.Claim{
+		Team: r.team, Key: r.idempotencyKey, Fingerprint: r.fingerprint, RequestId: r.id,
+		TimeoutUs: time.Until(deadline).Microseconds(),
+	}}})
+	if err != nil || a.GetClaim() == nil {
+		n.metrics.claimRefused.Inc(1)
+		n.releaseClaim(r) // The claim may have been recorded although its answer was lost.
+		return nil, verdict.Refuse("claim-unavailable", "the home of the idempotency key cannot be reached", time.Second)
+	}
+	return n.claimed(r, a.GetClaim())
+}
+
+// claimed turns the home's decision into an answer or an error.
+func (n *Node) claimed(r *request, c *wire.ClaimAnswer) (*answer, error) {
+	switch idempotency.Outcome(c.GetOutcome()) {
+	case idempotency.Run:
+		return nil, nil
+	case idempotency.Done:
+		return storedAnswer(r, c)
+	case idempotency.Running:
+		return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Status: 409, Code: "idempotency-running", Detail: "a request with this Idempotency-Key is still running", RetryAfter: time.Second}
+	case idempotency.Mismatch:
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Status: 422, Code: "idempotency-mismatch", Detail: "the Idempotency-Key was used for another request"}
+	case idempotency.Rejected:
+		return nil, badRequest("idempotency-key", c.GetDetail())
+	case idempotency.MayHaveRun:
+		return nil, verdict.Lost("idempotency-unknown", c.GetDetail(), nil)
+	default:
+		n.metrics.claimRefused.Inc(1)
+		return nil, verdict.Refuse("claim-refused", "the home of the idempotency key takes no new claims: "+c.GetDetail(), time.Second)
+	}
+}
+
+// storedAnswer rebuilds the answer of an earlier request with the same key.
+func storedAnswer(r *request, c *wire.ClaimAnswer) (*answer, error) {
+	var s wire.StoredAnswer
+	if len(c.GetStored()) == 0 || proto.Unmarshal(c.GetStored(), &s) != nil || s.GetHead() == nil {
+		return nil, &verdict.Error{
+			Verdict: wire.VerdictFrom(c.GetVerdict()), Status: 409, Code: "idempotency-done",
+			Detail: "the request has run before; its answer is not kept",
+		}
+	}
+	head := s.GetHead()
+	head.RequestId = r.id
+	head.Fields = append(head.Fields, &wire.Field{Name: replayedHeader, Value: "true"})
+	return &answer{head: head, prefix: s.GetBody(), whole: true}, nil
+}
+
+// settleClaim reports the result to the home in the background, so that the
+// caller does not wait for it.
+func (n *Node) settleClaim(r *request, a *answer, err error) {
+	if err == nil {
+		n.finishClaim(r, verdict.Completed, storable(a))
+		return
+	}
+	if verdict.From(err).Verdict == verdict.NotRun {
+		n.releaseClaim(r)
+		return
+	}
+	n.finishClaim(r, verdict.MayHaveRun, nil)
+}
+
+// releaseClaim withdraws the claim of a request that certainly did not run.
+func (n *Node) releaseClaim(r *request) { n.finishClaim(r, verdict.NotRun, nil) }
+
+func (n *Node) finishClaim(r *request, v verdict.Verdict, stored []byte) {
+	call := &wire.Call{Body: &wire.Call_ClaimDone{ClaimDone: &wire.ClaimDone{
+		Team: r.team, Key: r.idempotencyKey, RequestId: r.id, Verdict: wire.VerdictTo(v), Stored: stored,
+	}}}
+	n.wg.Go(func() {
+		for range doneAttempts {
+			ctx, cancel := context.WithTimeout(n.ctx, claimTimeout)
+			_, err := n.homes.callHome(ctx, kindClaim, claimName(r.team, r.idempotencyKey), call)
+			cancel()
+			if err == nil || !wait(n.ctx, controlInterval) {
+				return
+			}
+		}
+	})
+}
+
+// storable returns the stored form of a short answer, or nil.
+func storable(a *answer) []byte {
+	if !a.whole || len(a.prefix) > maxStoredBytes {
+		return nil
+	}
+	b, err := proto.Marshal(&wire.StoredAnswer{Head: a.head, Body: a.prefix})
+	if err != nil || len(b) > maxStoredBytes {
+		return nil
+	}
+	return b
+}
+
+// claimName is the name by which a key is placed; teams do not share keys.
+func claimName(team, key string) string { return team + "\x00" + key }
--- /dev/null
+++ b/node/rates.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoildock.example/ratelimit"
+	"trefoildock.example/rules"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+// rates holds this node's shares of the teams' rates and asks the homes for
+// more. It is safe for concurrent use.
+type rates struct {
+	node *Node
+
+	mu     sync.Mutex
+	holder *ratelimit.Holder
+}
+
+func newRates(n *Node) *rates {
+	return &rates{node: n, holder: ratelimit.NewHolder(n.settings.Node.Name, n.incarnation())}
+}
+
+// reset drops all shares, because the node joins under a new incarnation.
+func (r *rates) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holder = ratelimit.NewHolder(r.node.settings.Node.Name, r.node.incarnation())
+}
+
+// admit spends one token of the team. It waits up to ratelimit.MaxWait and
+// otherwise returns a NotRun error with status 429.
+func (r *rates) admit(ctx context.Context, team *rules.Team) error {
+	limit := limitOf(team)
+	start := time.Now()
+	d, err := r.decide(start, team.Name, limit, (*ratelimit.Holder).Allow)
+	for err == nil {
+		switch d.Outcome {
+		case ratelimit.Allowed:
+			return nil
+		case ratelimit.TakeAtHome:
+			if r.takeAtHome(ctx, team.Name, start) {
+				return nil
+			}
+		case ratelimit.Wait:
+			if !wait(ctx, min(max(d.Wait, time.Millisecond), ratelimit.MaxWait)) {
+				return tooManyRequests(d.Wait)
+			}
+		case ratelimit.Refused:
+			return tooManyRequests(d.Wait)
+		}
+		now := time.Now()
+		if now.Sub(start) >= ratelimit.MaxWait {
+			return tooManyRequests(d.Wait)
+		}
+		d, err = r.decide(now, team.Name, limit, (*ratelimit.Holder).Retry)
+	}
+	return err
+}
+
+// decide asks the holder while the node is fresh. Holder and freshness use the
+// same reading of the clock, so a pause between them spends nothing.
+func (r *rates) decide(now time.Time, team string, limit ratelimit.Limit, f func(*ratelimit.Holder, time.Time, string, ratelimit.Limit) ratelimit.Decision) (ratelimit.Decision, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.node.fresh(time.Now()) {
+		r.node.metrics.notFresh.Inc(1)
+		return ratelimit.Decision{}, verdict.Refuse("not-fresh", "this node cannot tell whether its shares are still valid", time.Second)
+	}
+	return f(r.holder, now, team, limit), nil
+}
+
+// takeAtHome asks the home for one token. A failed call may have spent the
+// token; that only lowers what the team gets, never raises it.
+func (r *rates) takeAtHome(ctx context.Context, team string, start time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, start.Add(ratelimit.MaxWait))
+	defer cancel()
+	a, err := r.node.homes.callHome(ctx, kindRate, team, &wire.Call{Body: &wire.Call_Take{Take: &wire.Take{Team: team, Tokens: 1}}})
+	if err == nil && a.GetTake().GetGranted() > 0 {
+		return true
+	}
+	retryAfter := ratelimit.TickInterval
+	if err == nil && !a.GetTake().GetNotHome() {
+		retryAfter = time.Duration(a.GetTake().GetRetryAfterUs()) * time.Microsecond
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holder.TakeRefused(time.Now(), team, retryAfter)
+	return false
+}
+
+// run keeps the shares in line with demand.
+func (r *rates) run(ctx context.Context) {
+	ticker := time.NewTicker(ratelimit.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.node.homes.tickLedger(time.Now())
+			r.report(ctx, time.Now())
+		}
+	}
+}
+
+// report sends the shares to their homes when the holder says so. pending
+// names homes that wait for a report although this node may hold nothing of them.
+func (r *rates) report(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	due := r.node.fresh(now) && r.holder.ReportDue(now)
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	term, homes := r.node.homes.rateHomes()
+	for _, home := range homes {
+		r.mu.Lock()
+		report := r.holder.Report(now, term, func(team string) bool { return r.node.homes.homeOf(kindRate, team) == home })
+		r.mu.Unlock()
+		if len(report.Shares) == 0 && !r.node.homes.awaitsReport(home, term) {
+			continue
+		}
+		go r.send(ctx, home, report)
+	}
+}
+
+func (r *rates) send(ctx context.Context, home string, report ratelimit.Report) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	a, err := r.node.homes.call(ctx, home, &wire.Call{Body: &wire.Call_ShareReport{ShareReport: reportToWire(report)}})
+	if err != nil || a.GetShare() == nil {
+		return
+	}
+	r.node.homes.reported(home, report.Term)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holder.Apply(time.Now(), answerFromWire(a.GetShare()))
+}
+
+func tooManyRequests(wait time.Duration) error {
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Status: 429, Code: "rate-limit",
+		Detail: "the team is over its rate", RetryAfter: max(wait, time.Second),
+	}
+}
+
+// wait sleeps for d. It returns false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func reportToWire(r ratelimit.Report) *wire.ShareReport {
+	out := &wire.ShareReport{Holder: r.Holder, Incarnation: r.Incarnation, Term: r.Term}
+	for _, s := range r.Shares {
+		out.Shares = append(out.Shares, &wire.ShareState{Team: s.Team, Sequence: s.Sequence, SharePpm: s.Share, WantedPpm: s.Wanted})
+	}
+	return out
+}
+
+func reportFromWire(r *wire.ShareReport) ratelimit.Report {
+	out := ratelimit.Report{Holder: r.GetHolder(), Incarnation: r.GetIncarnation(), Term: r.GetTerm()}
+	for _, s := range r.GetShares() {
+		out.Shares = append(out.Shares, ratelimit.ShareState{Team: s.GetTeam(), Sequence: s.GetSequence(), Share: s.GetSharePpm(), Wanted: s.GetWantedPpm()})
+	}
+	return out
+}
+
+func answerToWire(a ratelimit.Answer) *wire.ShareAnswer {
+	out := &wire.ShareAnswer{Incarnation: a.Incarnation}
+	for _, s := range a.Shares {
+		out.Shares = append(out.Shares, &wire.NewShare{Team: s.Team, Sequence: s.Sequence, SharePpm: s.Share})
+	}
+	return out
+}
+
+func answerFromWire(a *wire.ShareAnswer) ratelimit.Answer {
+	out := ratelimit.Answer{Incarnation: a.GetIncarnation()}
+	for _, s := range a.GetShares() {
+		out.Shares = append(out.Shares, ratelimit.NewShare{Team: s.GetTeam(), Sequence: s.GetSequence(), Share: s.GetSharePpm()})
+	}
+	return out
+}
--- a/node/request.go
+++ b/node/request.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -130,16 +132,16 @@
 func sendRest(x exchange, rest io.Reader) error {
 	for {
 		buf := make([]byte, wire.ChunkBytes) // Not reused: an in-process exchange keeps it.
-		n, err := io.ReadFull(rest, buf)
-		switch err {
-		case nil:
-			err = x.Send(chunkEnvelope(buf[:n], false))
-		case io.EOF, io.ErrUnexpectedEOF:
+		n, err := readChunk(rest, buf, true)
+		if errors.Is(err, io.EOF) {
 			return x.Send(chunkEnvelope(buf[:n], true))
 		}
 		if err != nil {
 			return err
 		}
+		if err := x.Send(chunkEnvelope(buf[:n], false)); err != nil {
+			return err
+		}
 	}
 }
 
--- /dev/null
+++ b/node/ring.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// monitorsPerNode is the number of nodes that ping each node.
+const monitorsPerNode = 3
+
+// ring orders the members by hash. The monitors of a node are the nodes that
+// follow it, so that a change of membership costs one insertion.
+type ring struct{ nodes []ringNode }
+
+type ringNode struct {
+	hash uint64
+	name string
+}
+
+func compareRing(a, b ringNode) int {
+	if a.hash != b.hash {
+		if a.hash < b.hash {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.name, b.name)
+}
+
+func newRingNode(name string) ringNode {
+	return ringNode{hash: xxhash.Sum64String("monitor/" + name), name: name}
+}
+
+func (r *ring) add(name string) {
+	n := newRingNode(name)
+	i, found := slices.BinarySearchFunc(r.nodes, n, compareRing)
+	if !found {
+		r.nodes = slices.Insert(r.nodes, i, n)
+	}
+}
+
+func (r *ring) remove(name string) {
+	i, found := slices.BinarySearchFunc(r.nodes, newRingNode(name), compareRing)
+	if found {
+		r.nodes = slices.Delete(r.nodes, i, i+1)
+	}
+}
+
+// monitors returns the nodes that ping the named node.
+func (r *ring) monitors(name string) []string { return r.neighbours(name, 1) }
+
+// monitored returns the nodes that the named node pings.
+func (r *ring) monitored(name string) []string { return r.neighbours(name, -1) }
+
+func (r *ring) neighbours(name string, step int) []string {
+	i, found := slices.BinarySearchFunc(r.nodes, newRingNode(name), compareRing)
+	if !found {
+		return nil
+	}
+	n := len(r.nodes)
+	out := make([]string, 0, monitorsPerNode)
+	for k := 1; k <= min(monitorsPerNode, n-1); k++ {
+		out = append(out, r.nodes[((i+k*step)%n+n)%n].name)
+	}
+	return out
+}
--- /dev/null
+++ b/node/synchronise.go
@@ -0,0 +1,231 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/freshness"
+	"trefoildock.example/wire"
+)
+
+// catchUpPeers is the number of members that a node pulls from beside its
+// parents while it is not fresh or not a member.
+const catchUpPeers = 3
+
+// synchronise starts the reads and pulls of one interval.
+func (c *control) synchronise(ctx context.Context, now time.Time) {
+	self := c.node.settings.Node.Name
+	_, member := c.members[self]
+	settled := member && c.state.Fresh(now)
+	if c.topology.IsAttester(self) || !settled {
+		c.readTable(ctx)
+	}
+	for _, name := range c.topology.Parents(self) {
+		c.pullMember(ctx, name)
+	}
+	if settled {
+		return
+	}
+	for _, name := range c.randomMembers(catchUpPeers) {
+		c.pullMember(ctx, name)
+	}
+	if !member {
+		for _, name := range c.topology.Attesters() { // To see when it may join.
+			c.pullMember(ctx, name)
+		}
+	}
+	for _, address := range c.node.settings.Link.Seeds {
+		c.pull(ctx, address)
+	}
+}
+
+func (c *control) randomMembers(n int) []string {
+	names := make([]string, 0, len(c.members))
+	for name := range c.members {
+		names = append(names, name)
+	}
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(n, len(names))]
+}
+
+func (c *control) pullMember(ctx context.Context, name string) {
+	if name == c.node.settings.Node.Name {
+		return
+	}
+	if m, ok := c.members[name]; ok {
+		c.pull(ctx, m.LinkAddress)
+	}
+}
+
+// pull asks the node at address for everything newer than what is held.
+func (c *control) pull(ctx context.Context, address string) {
+	if address == c.node.settings.Listen.Link {
+		return
+	}
+	held := c.state.Held()
+	c.once(ctx, "pull "+address, func(callCtx context.Context) {
+		start := time.Now()
+		a, err := c.node.pool.Call(callCtx, address, &wire.Call{Body: &wire.Call_Pull{Pull: &wire.Pull{
+			ConfigVersion: held.Config, MembersVersion: held.Members,
+		}}})
+		now := time.Now()
+		if err != nil || a.GetPull() == nil {
+			c.node.metrics.pullErrors.Inc(1)
+			return
+		}
+		c.post(ctx, func() { c.merge(a.GetPull(), now.Sub(start), now) })
+	})
+}
+
+// merge applies the answer to a pull that was received at the given time.
+func (c *control) merge(a *wire.PullAnswer, roundTrip time.Duration, received time.Time) {
+	c.applySnapshot(a.GetSnapshot(), received)
+	c.applyMembers(a.GetMembers(), received)
+	c.applyConfig(a.GetConfig())
+	// The answer may have waited for this goroutine; the wait adds to its age.
+	now := time.Now()
+	c.state.Merge(attestationsFromWire(a.GetAttestations()), roundTrip+now.Sub(received), now)
+	c.publishFreshness(now)
+	c.ensureMember(c.ctx, now)
+}
+
+// answerPull returns what a peer that holds these versions lacks.
+func (c *control) answerPull(p *wire.Pull, now time.Time) *wire.PullAnswer {
+	a := &wire.PullAnswer{Attestations: attestationsToWire(c.state.Export(now))}
+	configFrom := len(c.configLog) - int(c.configVersion-min(p.GetConfigVersion(), c.configVersion))
+	memberFrom := len(c.memberLog) - int(c.membersVersion-min(p.GetMembersVersion(), c.membersVersion))
+	if configFrom < 0 || memberFrom < 0 {
+		a.Snapshot = c.wholeState()
+		return a
+	}
+	a.Config = limited(c.configLog[configFrom:])
+	a.Members = limited(c.memberLog[memberFrom:])
+	return a
+}
+
+func limited[T any](list []T) []T { return list[:min(len(list), pullLimit)] }
+
+func (c *control) wholeState() *wire.Snapshot {
+	s := &wire.Snapshot{
+		ConfigVersion: c.configVersion, Lines: c.config.Lines(), MembersVersion: c.membersVersion,
+	}
+	for _, m := range c.members {
+		s.Members = append(s.Members, memberToWire(m))
+	}
+	return s
+}
+
+// acknowledge applies changes that a committing node pushes to an attester.
+func (c *control) acknowledge(a *wire.Acknowledge, now time.Time) *wire.AcknowledgeAnswer {
+	c.applyMembers(a.GetMembers(), now)
+	c.applyConfig(a.GetConfig())
+	return &wire.AcknowledgeAnswer{ConfigVersion: c.configVersion, MembersVersion: c.membersVersion}
+}
+
+// tableRead is the result of one read of the platform's table.
+type tableRead struct {
+	start    time.Time
+	heads    configstore.Heads
+	snapshot *wire.Snapshot
+	config   []*wire.ConfigDelta
+	members  []*wire.MemberChange
+	err      error
+}
+
+// readTable reads the heads and what is new since the held versions.
+func (c *control) readTable(ctx context.Context) {
+	held := c.state.Held()
+	c.once(ctx, "table", func(callCtx context.Context) {
+		r := c.node.readLogs(callCtx, held)
+		c.post(ctx, func() { c.applyTable(r) })
+	})
+}
+
+func (n *Node) readLogs(ctx context.Context, held freshness.Versions) tableRead {
+	r := tableRead{start: time.Now()}
+	if r.heads, r.err = n.store.Heads(ctx); r.err != nil {
+		return r
+	}
+	if r.heads.Config > held.Config+recentChanges {
+		if r.snapshot, r.err = n.loadSnapshot(ctx); r.err != nil {
+			return r
+		}
+		held.Config = max(held.Config, r.snapshot.GetConfigVersion())
+	}
+	if r.heads.Config > held.Config {
+		entries, err := n.store.ConfigEntries(ctx, held.Config, pullLimit)
+		if r.err = err; err != nil {
+			return r
+		}
+		for _, e := range entries {
+			r.config = append(r.config, configEntryToWire(e))
+		}
+	}
+	if r.heads.Members > held.Members {
+		entries, err := n.store.MemberEntries(ctx, held.Members, pullLimit)
+		if r.err = err; err != nil {
+			return r
+		}
+		for _, e := range entries {
+			r.members = append(r.members, memberEntryToWire(e))
+		}
+	}
+	return r
+}
+
+// applyTable applies a read of the table on the control goroutine.
+func (c *control) applyTable(r tableRead) {
+	if down := r.err != nil; down != c.tableDown {
+		c.tableDown = down
+		c.logger.Log("event", "table reachability changed", "down", down, "err", r.err)
+	}
+	if r.err != nil {
+		c.node.metrics.tableErrors.Inc(1)
+		return
+	}
+	now := time.Now()
+	c.applySnapshot(r.snapshot, now)
+	c.applyMembers(r.members, now)
+	c.applyConfig(r.config)
+	c.state.ReadTable(freshness.Versions{Config: r.heads.Config, Members: r.heads.Members}, r.start)
+	c.publishFreshness(now)
+	c.ensureMember(c.ctx, now)
+}
+
+// push sends committed changes to the attesters and returns how many of them
+// hold the versions and how many are needed.
+func (n *Node) push(ctx context.Context, addresses []string, a *wire.Acknowledge, want freshness.Versions) int {
+	results := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- n.pushOne(ctx, address, a, want) }()
+	}
+	held := 0
+	for range addresses {
+		if <-results {
+			held++
+		}
+	}
+	return held
+}
+
+func (n *Node) pushOne(ctx context.Context, address string, a *wire.Acknowledge, want freshness.Versions) bool {
+	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	answer, err := n.pool.Call(callCtx, address, &wire.Call{Body: &wire.Call_Acknowledge{Acknowledge: a}})
+	if err != nil {
+		return false
+	}
+	got := answer.GetAcknowledge()
+	return freshness.Versions{Config: got.GetConfigVersion(), Members: got.GetMembersVersion()}.Covers(want)
+}
+
+// loadSnapshot reads the whole configuration for a node that is far behind.
+func (n *Node) loadSnapshot(ctx context.Context) (*wire.Snapshot, error) {
+	state, err := n.store.LoadConfig(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Snapshot{ConfigVersion: state.Version, Lines: state.Config.Lines()}, nil
+}
--- a/placement/active.go
+++ b/placement/active.go
@@ -72,20 +72,22 @@
 // Inherit records that the previous home of the partition, whose planned stop
 // is the member change version, handed over all that it remembers. It returns
 // false if the present home was made by another change: a home in between may
-// have acted, so the memory has a gap. The previous home must have stopped
-// acting before it wrote the handover.
-func (t *Table) Inherit(partition int, version uint64, m Memory) bool {
+// have acted, so the memory has a gap. The previous home must have been active
+// and must have stopped acting before it wrote the handover. No other home can
+// act then, so the present one need not wait and acts from now on.
+func (t *Table) Inherit(partition int, version uint64, m Memory, now time.Time) bool {
 	h := &t.homes[partition]
 	if h.node == nobody || h.version != version || h.activeAt == firstStart {
 		return false
 	}
+	if t.base.IsZero() {
+		t.base = now
+	}
+	h.activeAt = min(h.activeAt, now.Sub(t.base))
 	if m.Complete {
 		h.memory = firstStart
 		return true
 	}
-	if t.base.IsZero() {
-		t.base = m.Since
-	}
 	h.memory = m.Since.Sub(t.base)
 	return true
 }
