Make the network of a node replaceable and report acceptance

Tests with a virtual clock need connections in memory. Publish pushes a committed configuration to the attesters and reports the quorum and the nodes that have it in force.

--- /dev/null
+++ b/node/memnet_test.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// memnet is a network in memory for tests with a virtual clock. Traffic from
+// one IP address to another can be cut in one direction: bytes are then lost
+// without an error, as they are behind a broken firewall.
+type memnet struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	cut       map[[2]string]bool
+}
+
+func newMemnet() *memnet {
+	return &memnet{listeners: make(map[string]*memListener), cut: make(map[[2]string]bool)}
+}
+
+// setCut cuts or restores the direction from one IP address to another.
+func (m *memnet) setCut(from, to string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[[2]string{from, to}] = cut
+}
+
+func (m *memnet) isCut(from, to string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cut[[2]string{from, to}]
+}
+
+// host is the network as one IP address sees it.
+type host struct {
+	net *memnet
+	ip  string
+}
+
+func (h host) Listen(_, address string) (net.Listener, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if h.net.listeners[address] != nil {
+		return nil, errors.Newf("address %s is in use", address)
+	}
+	l := &memListener{net: h.net, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	h.net.listeners[address] = l
+	return l, nil
+}
+
+func (h host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	h.net.mu.Lock()
+	l := h.net.listeners[address]
+	h.net.mu.Unlock()
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	if h.net.isCut(h.ip, ip) || h.net.isCut(ip, h.ip) {
+		<-ctx.Done() // The handshake needs both directions.
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, errors.Newf("connection to %s refused", address)
+	}
+	client, server := newMemPair(h.net, h.ip, ip)
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errors.Newf("connection to %s refused", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type memListener struct {
+	net     *memnet
+	address string
+	conns   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		delete(l.net.listeners, l.address)
+	})
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return memAddr("127.0.0.1") }
+
+func memAddr(ip string) net.Addr { return &net.TCPAddr{IP: net.ParseIP(ip), Port: 1} }
+
+// memConn is one end of a connection in memory.
+type memConn struct {
+	net        *memnet
+	local, far string
+	in, out    chan []byte
+	closed     chan struct{}
+	peerClosed chan struct{}
+	once       *sync.Once
+	mu         sync.Mutex
+	left       []byte
+	read       memDeadline
+	write      memDeadline
+}
+
+// memBuffer bounds the writes in flight in one direction.
+const memBuffer = 256
+
+func newMemPair(m *memnet, client, server string) (net.Conn, net.Conn) {
+	there, back := make(chan []byte, memBuffer), make(chan []byte, memBuffer)
+	a, b := make(chan struct{}), make(chan struct{})
+	c := &memConn{net: m, local: client, far: server, in: back, out: there, closed: a, peerClosed: b, once: new(sync.Once)}
+	s := &memConn{net: m, local: server, far: client, in: there, out: back, closed: b, peerClosed: a, once: new(sync.Once)}
+	return c, s
+}
+
+func (c *memConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.left) == 0 {
+		data, err := c.receive()
+		if err != nil {
+			return 0, err
+		}
+		c.left = data
+	}
+	n := copy(p, c.left)
+	c.left = c.left[n:]
+	return n, nil
+}
+
+func (c *memConn) receive() ([]byte, error) {
+	for {
+		select {
+		case data := <-c.in:
+			return data, nil
+		default:
+		}
+		changed, expired := c.read.channels()
+		select {
+		case data := <-c.in:
+			return data, nil
+		case <-c.closed:
+			return nil, net.ErrClosed
+		case <-expired:
+			return nil, os.ErrDeadlineExceeded
+		case <-changed:
+		case <-c.peerGone():
+			select {
+			case data := <-c.in:
+				return data, nil
+			default:
+				return nil, io.EOF
+			}
+		}
+	}
+}
+
+// peerGone returns the channel that is closed with the peer, or nil while the
+// direction from it is cut and the news cannot arrive.
+func (c *memConn) peerGone() chan struct{} {
+	if c.net.isCut(c.far, c.local) {
+		return nil
+	}
+	return c.peerClosed
+}
+
+func (c *memConn) Write(p []byte) (int, error) {
+	if c.net.isCut(c.local, c.far) {
+		return len(p), nil
+	}
+	data := append([]byte(nil), p...)
+	_, expired := c.write.channels()
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case <-c.peerClosed:
+		return 0, io.ErrClosedPipe
+	case <-expired:
+		return 0, os.ErrDeadlineExceeded
+	case c.out <- data:
+		return len(p), nil
+	}
+}
+
+func (c *memConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (c *memConn) LocalAddr() net.Addr                { return memAddr(c.local) }
+func (c *memConn) RemoteAddr() net.Addr               { return memAddr(c.far) }
+func (c *memConn) SetReadDeadline(t time.Time) error  { c.read.set(t); return nil }
+func (c *memConn) SetWriteDeadline(t time.Time) error { c.write.set(t); return nil }
+func (c *memConn) SetDeadline(t time.Time) error      { c.read.set(t); c.write.set(t); return nil }
+
+// memDeadline is a deadline that a blocked call notices when it changes.
+type memDeadline struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	expired chan struct{}
+	changed chan struct{}
+}
+
+func (d *memDeadline) channels() (changed, expired chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	return d.changed, d.expired
+}
+
+func (d *memDeadline) set(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	d.timer, d.expired = nil, nil
+	if !t.IsZero() {
+		expired := make(chan struct{})
+		d.expired = expired
+		if left := time.Until(t); left <= 0 {
+			close(expired)
+		} else {
+			d.timer = time.AfterFunc(left, func() { close(expired) })
+		}
+	}
+	if d.changed != nil {
+		close(d.changed)
+	}
+	d.changed = make(chan struct{})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,8 @@
 	LinkServerTLS, LinkClientTLS *tls.Config
 	// TrafficTLS secures the callers' connections; nil means plain HTTP.
 	TrafficTLS *tls.Config
+	// Network opens sockets; nil means TCP.
+	Network Network
 }
 
 // Node is one node of the fleet.
@@ -88,8 +90,12 @@
 	n.renew()
 	n.snapshot.Store(emptySnapshot())
 	identity := link.Identity{Node: s.Node.Name, Incarnation: n.incarnation(), Cluster: s.Node.Cluster}
-	n.pool = &link.Pool{Identity: identity, TLS: d.LinkClientTLS}
+	if d.Network == nil {
+		n.deps.Network = tcpNetwork{}
+	}
+	n.pool = &link.Pool{Identity: identity, TLS: d.LinkClientTLS, Dial: n.dialLink}
 	n.owner = newOwner(n.metrics, d.Logger)
+	n.owner.dial = n.deps.Network.Dial
 	n.owner.stateOf = n.backendState
 	n.forwarder = &forwarder{
 		self: s.Node.Name, zone: s.Node.Zone, pool: n.pool, loads: newLoadTable(),
@@ -234,7 +240,7 @@
 		{n.settings.Listen.Announce, &l.announce, "announce"},
 		{n.settings.Listen.Metrics, &l.metrics, "metrics"},
 	} {
-		ln, err := net.Listen("tcp", e.at)
+		ln, err := n.deps.Network.Listen("tcp", e.at)
 		if err != nil {
 			l.close()
 			return nil, errors.Wrapf(err, "listen for %s on %s", e.purpose, e.at)
--- /dev/null
+++ b/node/operations.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/freshness"
+	"trefoildock.example/wire"
+)
+
+const (
+	// publishLimit bounds the wait for a quorum and for the change to be in force.
+	publishLimit = 5 * time.Second
+	// publishSample is the largest number of nodes that are asked whether a
+	// change is in force, so that a change costs the same in a fleet of any size.
+	publishSample = 100
+	// askConcurrency bounds the nodes that are asked at the same time.
+	askConcurrency = 16
+)
+
+// Acceptance tells how far a committed configuration has spread.
+type Acceptance struct {
+	// Acknowledged attesters hold the version; Needed of them make a quorum.
+	Acknowledged, Needed int
+	// InForce of the Asked nodes have the version in force. At most 100 nodes
+	// are asked.
+	InForce, Asked int
+}
+
+// Accepted reports whether a quorum of attesters holds the version.
+func (a Acceptance) Accepted() bool { return a.Needed > 0 && a.Acknowledged >= a.Needed }
+
+// Publish applies a committed change here, pushes it to the attesters and waits
+// until a quorum holds it and the asked nodes have it in force, at most 5 s.
+func (n *Node) Publish(ctx context.Context, entry configstore.ConfigEntry) Acceptance {
+	ctx, cancel := context.WithTimeout(ctx, publishLimit)
+	defer cancel()
+	var addresses []string
+	delta := []*wire.ConfigDelta{configEntryToWire(entry)}
+	err := n.control.ask(ctx, func() {
+		n.control.applyConfig(delta)
+		n.control.readTable(n.ctx) // In case this node was behind.
+		addresses = n.control.attesterAddresses()
+	})
+	if err != nil {
+		return Acceptance{}
+	}
+	result := Acceptance{Needed: freshness.Quorum(len(addresses))}
+	want := freshness.Versions{Config: entry.Version}
+	for {
+		result.Acknowledged = n.push(ctx, addresses, &wire.Acknowledge{Config: delta}, want)
+		if result.Accepted() || !wait(ctx, controlInterval/5) {
+			break
+		}
+	}
+	n.awaitInForce(ctx, entry.Version, &result)
+	return result
+}
+
+// awaitInForce asks the nodes of a sample for their version until all have it.
+func (n *Node) awaitInForce(ctx context.Context, version uint64, result *Acceptance) {
+	sample := n.sampleMembers()
+	result.Asked = len(sample)
+	for {
+		sample = n.behind(ctx, sample, version)
+		result.InForce = result.Asked - len(sample)
+		if len(sample) == 0 || !wait(ctx, controlInterval/5) {
+			return
+		}
+	}
+}
+
+func (n *Node) sampleMembers() []string {
+	members := n.snapshot.Load().members
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.LinkAddress)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(publishSample, len(addresses))]
+}
+
+// behind returns the nodes that do not have the version in force or do not answer.
+func (n *Node) behind(ctx context.Context, addresses []string, version uint64) []string {
+	var (
+		mu  sync.Mutex
+		out []string
+		wg  sync.WaitGroup
+	)
+	slots := make(chan struct{}, askConcurrency)
+	for _, address := range addresses {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			if n.configVersionOf(ctx, address) < version {
+				mu.Lock()
+				defer mu.Unlock()
+				out = append(out, address)
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func (n *Node) configVersionOf(ctx context.Context, address string) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, controlInterval)
+	defer cancel()
+	a, err := n.pool.Call(ctx, address, &wire.Call{Body: &wire.Call_Ping{Ping: &wire.Ping{}}})
+	if err != nil {
+		return 0
+	}
+	return a.GetPing().GetConfigVersion()
+}
+
+// Status is this node's view of the fleet.
+type Status struct {
+	// Node and Incarnation identify this process; Zone is its availability zone.
+	Node, Zone, Incarnation string
+	// Fresh is true while the node provably knows every accepted version.
+	Fresh bool
+	// ConfigVersion and MembersVersion are the versions held.
+	ConfigVersion, MembersVersion uint64
+	// TableReachable is the result of the last read of the platform's table.
+	TableReachable bool
+	// Members are all members in the order of their names.
+	Members []configstore.Member
+	// Services are the configured services in the order of their names.
+	Services []ServiceStatus
+}
+
+// ServiceStatus describes one service.
+type ServiceStatus struct {
+	// Name and Floor are those of the configuration.
+	Name  string
+	Floor int
+	// Owners are the nodes that own backend servers of the service.
+	Owners []string
+	// Ejected are the backend servers that hold an ejection permit, as far as
+	// this node is the home of the service.
+	Ejected []string
+}
+
+// Status returns this node's view without any I/O.
+func (n *Node) Status(ctx context.Context) Status {
+	snap := n.snapshot.Load()
+	s := Status{
+		Node: n.settings.Node.Name, Zone: n.settings.Node.Zone, Incarnation: n.incarnation(),
+		Fresh: n.fresh(time.Now()), ConfigVersion: snap.configVersion, MembersVersion: snap.membersVersion,
+	}
+	_ = n.control.ask(ctx, func() { s.TableReachable = !n.control.tableDown }) // A stopped node shows false.
+	for _, m := range snap.members {
+		s.Members = append(s.Members, m)
+	}
+	slices.SortFunc(s.Members, func(a, b configstore.Member) int { return strings.Compare(a.Node, b.Node) })
+	for name, service := range snap.config.Services {
+		s.Services = append(s.Services, ServiceStatus{
+			Name: name, Floor: service.Floor, Owners: ownerNames(snap.owners[name]), Ejected: n.homes.services.ejected(name),
+		})
+	}
+	slices.SortFunc(s.Services, func(a, b ServiceStatus) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+func ownerNames(refs []*ownerRef) []string {
+	names := make([]string, len(refs))
+	for i, r := range refs {
+		names[i] = r.node
+	}
+	return names
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	logger  log.Logger
 	// servicesChanged is told when the set of owned services has changed.
 	servicesChanged func()
+	// dial opens connections to backend servers.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu       sync.RWMutex
 	backends map[string]*backend
@@ -52,6 +55,7 @@
 	}
 	if b == nil {
 		b = newBackend(name, a)
+		b.dispatch.setDial(o.dial)
 		o.backends[name] = b
 		o.logger.Log("event", "backend server announced", "backend", name, "service", a.Service, "slots", a.Slots)
 		go o.servicesChanged()
--- a/node/service.go
+++ b/node/service.go
@@ -17,3 +17,6 @@
 
 // ejectionState returns the state of a backend server by its ejection permit.
 func (h *homes) ejectionState(string, string) admission.State { return admission.Serving }
+
+// ejected returns the backend servers of a service that hold a permit.
+func (s *services) ejected(string) []string { return nil }
