--- /dev/null
+++ b/node/virtual_test.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/platform/memory"
+	"trefoildock.example/rules"
+	"trefoildock.example/settings"
+	standin "trefoildock.example/standin/backend"
+	"trefoildock.example/verdict"
+)
+
+// fleet runs nodes and backend servers in one process with a virtual clock and a
+// network in memory. It exercises the code of the node unchanged.
+type fleet struct {
+	t        *testing.T
+	net      *memnet
+	platform *memory.Store
+	store    *configstore.Store
+	nodes    map[string]*Node
+	backends map[string]*vmBackend
+	keys     map[string]string
+	client   *http.Client
+}
+
+// vmBackend is a backend server beside a node.
+type vmBackend struct {
+	server *standin.Server
+	http   *http.Server
+	stop   context.CancelFunc
+}
+
+// clientIP is the address of callers.
+const clientIP = "127.9.9.9"
+
+// runFleet runs a test against a fleet of n nodes in three zones whose
+// configuration is in force.
+func runFleet(t *testing.T, n int, f func(*fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t)
+		defer fl.close()
+		for i := range n {
+			fl.start(i)
+		}
+		fl.eventually("all nodes are ready", func() bool { return fl.all(func(n *Node) bool { return n.fresh(time.Now()) && n.homes.version() > 0 }) })
+		fl.applyRules(clusterRules)
+		time.Sleep(time.Second) // Lets the owners' services reach every entry.
+		f(fl)
+	})
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t: t, net: newMemnet(), platform: memory.New(), nodes: make(map[string]*Node),
+		backends: make(map[string]*vmBackend), keys: make(map[string]string),
+	}
+	f.store = configstore.New(f.platform.Table(), f.platform.Objects(), configstore.Options{})
+	f.client = &http.Client{Transport: &http.Transport{DialContext: host{f.net, clientIP}.Dial, DisableKeepAlives: true}}
+	return f
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%02d", i) }
+func nodeIP(i int) string   { return fmt.Sprintf("127.0.1.%d", i+1) }
+
+// start starts node i and the backend server beside it.
+func (f *fleet) start(i int) {
+	f.startNode(i)
+	service := []string{"catalogue", "orders"}[i%2]
+	config := standin.Config{Name: fmt.Sprintf("%s-%d", service, i), Service: service, ServiceTime: 2 * time.Millisecond, Seed: uint64(i)}
+	f.startBackend(i, config)
+}
+
+func (f *fleet) startNode(i int) {
+	ip := nodeIP(i)
+	s := settings.Default()
+	s.Node = settings.Node{Name: nodeName(i), VM: "vm-" + nodeName(i), Zone: zones[i%len(zones)], Region: "r", Cluster: "test"}
+	s.Listen = settings.Listen{Traffic: ip + ":8080", Link: ip + ":7400", Announce: ip + ":7401", Admin: ip + ":7402", Metrics: ip + ":7403"}
+	for k := range 3 {
+		s.Link.Seeds = append(s.Link.Seeds, nodeIP(k)+":7400")
+	}
+	logger := log.NewNopLogger()
+	if os.Getenv("TREFOILDOCK_TEST_LOG") != "" {
+		logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", s.Node.Name, "ts", log.TimestampFormat(time.Now, "04:05.000"))
+	}
+	n := New(s, Dependencies{Store: f.store, Logger: logger, Registry: metrics.NewRegistry(), Network: host{f.net, ip}})
+	require.NoError(f.t, n.Start())
+	f.nodes[nodeName(i)] = n
+}
+
+// startBackend serves a stand-in backend server on the memory network and
+// announces it every 500 ms.
+func (f *fleet) startBackend(i int, config standin.Config) {
+	server, err := standin.New(config)
+	require.NoError(f.t, err)
+	address := nodeIP(i) + ":9000"
+	ln, err := host{f.net, nodeIP(i)}.Listen("tcp", address)
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &vmBackend{server: server, http: &http.Server{Handler: server}, stop: cancel}
+	go func() { _ = b.http.Serve(ln) }()
+	name := nodeName(i)
+	go func() {
+		for {
+			if n := f.nodes[name]; n != nil {
+				a := server.Announcement()
+				_ = n.owner.announce(config.Name, announcement{
+					Service: config.Service, Address: address, Slots: 3, Connections: 100, Incarnation: a.Incarnation, State: a.State,
+				}, time.Now())
+			}
+			if !wait(ctx, 500*time.Millisecond) {
+				return
+			}
+		}
+	}()
+	f.backends[name] = b
+}
+
+// kill ends a node and its backend server without notice, as the loss of a VM does.
+func (f *fleet) kill(i int) {
+	name := nodeName(i)
+	f.killBackend(name)
+	n := f.nodes[name]
+	delete(f.nodes, name)
+	n.Close()
+}
+
+func (f *fleet) killBackend(name string) {
+	b := f.backends[name]
+	if b == nil {
+		return
+	}
+	delete(f.backends, name)
+	b.stop()
+	b.http.Close()
+	b.server.Kill()
+}
+
+func (f *fleet) close() {
+	f.client.CloseIdleConnections()
+	for name := range f.backends {
+		f.killBackend(name)
+	}
+	for name, n := range f.nodes {
+		delete(f.nodes, name)
+		n.Close()
+	}
+	time.Sleep(2 * time.Minute) // Ends delayed closes of sessions and streams.
+}
+
+func (f *fleet) all(condition func(*Node) bool) bool {
+	for _, n := range f.nodes {
+		if !condition(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// eventually waits in virtual time.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for range 6000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.FailNow(f.t, "not reached within 60 s: "+what)
+}
+
+// applyRules commits rules with one key per team and waits until they are in force.
+func (f *fleet) applyRules(text string) {
+	f.t.Helper()
+	for line := range strings.Lines(text) {
+		if name, ok := strings.CutPrefix(line, "team "); ok {
+			team, _, _ := strings.Cut(name, " ")
+			clear, digest, err := rules.NewKey()
+			require.NoError(f.t, err)
+			f.keys[team] = clear
+			text += fmt.Sprintf("key %s %s # test: key\n", team, digest)
+		}
+	}
+	f.change(func(*rules.Config) *rules.Config {
+		next, err := rules.Parse("test.rules", strings.NewReader(text))
+		require.NoError(f.t, err)
+		return next
+	})
+	f.eventually("the configuration is in force", func() bool {
+		return f.all(func(n *Node) bool { return n.snapshot.Load().configVersion > 0 })
+	})
+}
+
+// change commits a change of the configuration and returns its version.
+func (f *fleet) change(edit func(*rules.Config) *rules.Config) uint64 {
+	f.t.Helper()
+	current, err := f.store.LoadConfig(f.t.Context())
+	require.NoError(f.t, err)
+	d := rules.Diff(current.Config, edit(current.Config))
+	version, err := f.store.CommitConfig(f.t.Context(), configstore.ConfigCommit{
+		ID: uuid.NewString(), ReadVersion: current.Version, Delta: d, Operator: "tester", Requester: "test: change",
+	})
+	require.NoError(f.t, err)
+	return version
+}
+
+// addLine commits one more rule.
+func (f *fleet) addLine(line string) uint64 {
+	f.t.Helper()
+	return f.change(func(c *rules.Config) *rules.Config {
+		next, err := c.Apply(rules.Delta{Added: []string{line}})
+		require.NoError(f.t, err)
+		return next
+	})
+}
+
+// send sends a request to the entry of node i. err is set if the connection
+// broke; the caller then knows nothing about the request.
+func (f *fleet) send(i int, method, path, body string, headers ...string) (reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+net.JoinHostPort(nodeIP(i), "8080")+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.GetBody = nil // Keeps net/http from repeating a request on its own.
+	for k := 0; k+1 < len(headers); k += 2 {
+		req.Header.Add(headers[k], headers[k+1])
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data)}, err
+}
+
+// order sends an order with an idempotency key.
+func (f *fleet) order(i int, key string) (reply, error) {
+	return f.send(i, http.MethodPost, "/orders", `{"order":"`+key+`"}`, "Authorization", "Bearer "+f.keys["walkers"], "Idempotency-Key", key)
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// Guards against a break of the request path under the virtual clock, on which
+// the tests of failures build.
+func TestVirtualRequestPath(t *testing.T) {
+	runFleet(t, 6, func(f *fleet) {
+		for i := range 6 {
+			r, err := f.send(i, http.MethodGet, "/catalogue/sticks", "")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			r, err = f.order(i, newKey())
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			require.Equal(t, "completed", r.header.Get(verdict.Header))
+		}
+	})
+}
