Count a share report only under the home's membership version

Ruled out: freshness and reachability of the home, which the log shows intact. The answer now carries the home's version.

Adds tests of failures under the virtual clock: table outage, withdrawn keys at an isolated node and during one-way partitions, orders resent after the loss of their home, graceful stop, availability zone out and in.

--- /dev/null
+++ b/node/failure_test.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/platform/memory"
+	"trefoildock.example/rules"
+	"trefoildock.example/verdict"
+)
+
+// cutZones cuts the direction from one availability zone to another among n nodes.
+func (f *fleet) cutZones(n, from, to int, cut bool) {
+	for i := range n {
+		for j := range n {
+			if i%len(zones) == from && j%len(zones) == to {
+				f.net.setCut(nodeIP(i), nodeIP(j), cut)
+			}
+		}
+	}
+}
+
+// isolate cuts a node off from all others in both directions.
+func (f *fleet) isolate(n, i int, cut bool) {
+	for j := range n {
+		if j != i {
+			f.net.setCut(nodeIP(i), nodeIP(j), cut)
+			f.net.setCut(nodeIP(j), nodeIP(i), cut)
+		}
+	}
+}
+
+// withdrawKeys removes every key of a team.
+func withdrawKeys(team string) func(*rules.Config) *rules.Config {
+	return func(c *rules.Config) *rules.Config {
+		next := *c
+		next.Keys = make(map[rules.KeyDigest]rules.Key)
+		for d, k := range c.Keys {
+			if k.Team != team {
+				next.Keys[d] = k
+			}
+		}
+		return &next
+	}
+}
+
+// Guards against a fleet that stops because the platform's table is away.
+func TestTableOutage(t *testing.T) {
+	runFleet(t, 6, func(f *fleet) {
+		f.platform.SetFaults(memory.Faults{Down: true})
+		for minute := range 11 { // Longer than any window of the fleet.
+			time.Sleep(time.Minute)
+			r, err := f.order(minute%6, newKey())
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+		}
+		f.platform.SetFaults(memory.Faults{})
+		version := f.change(withdrawKeys("walkers"))
+		f.eventually("the change is in force", func() bool {
+			return f.all(func(n *Node) bool { return n.snapshot.Load().configVersion >= version })
+		})
+	})
+}
+
+// Guards against a withdrawn key that still works at a node that missed the
+// change, because it is cut off from the others and from the table.
+func TestWithdrawnKeyAtIsolatedNode(t *testing.T) {
+	runFleet(t, 9, func(f *fleet) {
+		f.isolate(9, 4, true)
+		f.platform.SetFaults(memory.Faults{Down: true}) // The isolated node cannot read the table either.
+		time.Sleep(500 * time.Millisecond)
+		n := f.node(nodeName(4))
+		f.eventually("the isolated node knows that it may be outdated", func() bool { return !n.fresh(time.Now()) })
+		r, err := f.send(4, http.MethodGet, "/orders/1", "", "Authorization", "Bearer "+f.keys["walkers"])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.Equal(t, verdict.NotRun.String(), r.header.Get(verdict.Header))
+		r, err = f.send(0, http.MethodGet, "/orders/1", "", "Authorization", "Bearer "+f.keys["walkers"])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, r.status, "the other nodes serve on a quorum of attesters")
+	})
+}
+
+// Guards against a withdrawn key that works longer than 3 s at any node while
+// availability zones are cut off from each other in one direction.
+func TestWithdrawnKeyDuringOneWayPartition(t *testing.T) {
+	for from := range zones {
+		runFleet(t, 9, func(f *fleet) {
+			f.cutZones(9, from, (from+1)%3, true)
+			time.Sleep(5 * time.Second)
+			f.change(withdrawKeys("walkers"))
+			time.Sleep(3 * time.Second)
+			for i := range 9 {
+				r, err := f.send(i, http.MethodGet, "/orders/1", "", "Authorization", "Bearer "+f.keys["walkers"])
+				require.NoError(t, err)
+				require.Contains(t, []int{http.StatusUnauthorized, http.StatusServiceUnavailable}, r.status, "node %d", i)
+			}
+		})
+	}
+}
+
+// Guards against an order that runs again after the home of its key was lost.
+func TestOrderResentAfterLossOfItsHome(t *testing.T) {
+	runFleet(t, 9, func(f *fleet) {
+		key := newKey()
+		r, err := f.order(0, key)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, r.status, r.body)
+		home := f.node(nodeName(0)).homes.homeOf(kindClaim, claimName("walkers", key))
+		lost := indexOf(home)
+		f.kill(lost)
+		entry := (lost + 1) % 9
+		for range 20 {
+			r, err = f.order(entry, key)
+			require.NoError(t, err)
+			require.NotEqual(t, http.StatusOK, r.status, "no home remembers the order")
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, verdict.MayHaveRun.String(), r.header.Get(verdict.Header), "the new home cannot rule out that it ran")
+		require.LessOrEqual(t, f.executed(key), 1)
+		r, err = f.order(entry, newKey())
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, r.status, "a key made after the loss runs")
+	})
+}
+
+func indexOf(name string) int {
+	for i := range 100 {
+		if nodeName(i) == name {
+			return i
+		}
+	}
+	panic("unknown node " + name)
+}
+
+// Guards against a planned stop that cuts requests, forgets orders or refuses them.
+func TestGracefulStopKeepsOrders(t *testing.T) {
+	runFleet(t, 9, func(f *fleet) {
+		var keys []string
+		for i := range 40 {
+			key := newKey()
+			r, err := f.order(i%9, key)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			keys = append(keys, key)
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.stop(4) }()
+		for i := range 100 {
+			entry := []int{0, 1, 2, 3, 5, 6, 7, 8}[i%8]
+			r, err := f.order(entry, newKey())
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.NoError(t, <-stopped)
+		for i, key := range keys {
+			r, err := f.order([]int{0, 1, 2, 3, 5, 6, 7, 8}[i%8], key)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			require.Equal(t, "true", r.header.Get(replayedHeader))
+			require.Equal(t, 1, f.executed(key))
+		}
+	})
+}
+
+// Guards against new work in an availability zone that is out of service, and
+// against requests that fail because it leaves or returns.
+func TestZoneOutAndIn(t *testing.T) {
+	runFleet(t, 9, func(f *fleet) {
+		f.addLine("zone zone-b out # test: maintenance")
+		start := time.Now()
+		last := time.Duration(0)
+		for range 100 {
+			before := f.dispatchedInZone("zone-b")
+			for i := range 9 {
+				r, err := f.order(i, newKey())
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, r.status, r.body)
+			}
+			if f.dispatchedInZone("zone-b") != before {
+				last = time.Since(start)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, last, 2*time.Second)
+		f.change(func(c *rules.Config) *rules.Config {
+			next := *c
+			next.Zones = map[string]rules.Zone{}
+			return &next
+		})
+		before := f.dispatchedInZone("zone-b")
+		for i := range 300 {
+			r, err := f.order(i%9, newKey())
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.Greater(t, f.dispatchedInZone("zone-b"), before)
+	})
+}
+
+func (f *fleet) dispatchedInZone(zone string) int64 {
+	total := int64(0)
+	for _, n := range f.running() {
+		if n.settings.Node.Zone == zone {
+			total += n.metrics.dispatched.Count()
+		}
+	}
+	return total
+}
--- a/node/home_rates.go
+++ b/node/home_rates.go
@@ -49,17 +49,21 @@
 		t, ok := config.Teams[team]
 		return limitOf(&t), ok
 	}
+	h.mu.RLock()
+	defer h.mu.RUnlock()
 	h.ledgerMu.Lock()
 	defer h.ledgerMu.Unlock()
 	now := time.Now()
-	if !h.node.fresh(now) {
+	if !h.node.fresh(now) || h.table == nil {
 		return &wire.Answer{Error: "home is not fresh"}
 	}
 	a, err := h.ledger.Report(now, reportFromWire(r), limits)
 	if err != nil {
 		return &wire.Answer{Error: err.Error()}
 	}
-	return &wire.Answer{Body: &wire.Answer_Share{Share: answerToWire(a)}}
+	share := answerToWire(a)
+	share.Term = h.table.Version()
+	return &wire.Answer{Body: &wire.Answer_Share{Share: share}}
 }
 
 // tickLedger lets time pass at the ledger.
--- a/node/rates.go
+++ b/node/rates.go
@@ -135,7 +135,9 @@
 	if err != nil || a.GetShare() == nil {
 		return
 	}
-	r.node.homes.reported(home, report.Term)
+	if a.GetShare().GetTerm() == report.Term {
+		r.node.homes.reported(home, report.Term)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holder.Apply(time.Now(), answerFromWire(a.GetShare()))
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"runtime"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,10 +37,14 @@
 	net      *memnet
 	platform *memory.Store
 	store    *configstore.Store
-	nodes    map[string]*Node
-	backends map[string]*vmBackend
 	keys     map[string]string
 	client   *http.Client
+
+	mu       sync.Mutex
+	nodes    map[string]*Node
+	backends map[string]*vmBackend
+	// executions counts the executions of each key at backend servers that are gone.
+	executions map[string]int
 }
 
 // vmBackend is a backend server beside a node.
@@ -52,6 +61,10 @@
 // configuration is in force.
 func runFleet(t *testing.T, n int, f func(*fleet)) {
 	t.Helper()
+	// yamux keeps timers in a sync.Pool. A timer must not leave its virtual clock,
+	// and two collections empty the pool.
+	defer runtime.GC()
+	defer runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t)
 		defer fl.close()
@@ -68,7 +81,7 @@
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t: t, net: newMemnet(), platform: memory.New(), nodes: make(map[string]*Node),
-		backends: make(map[string]*vmBackend), keys: make(map[string]string),
+		backends: make(map[string]*vmBackend), keys: make(map[string]string), executions: make(map[string]int),
 	}
 	f.store = configstore.New(f.platform.Table(), f.platform.Objects(), configstore.Options{})
 	f.client = &http.Client{Transport: &http.Transport{DialContext: host{f.net, clientIP}.Dial, DisableKeepAlives: true}}
@@ -100,9 +113,29 @@
 	}
 	n := New(s, Dependencies{Store: f.store, Logger: logger, Registry: metrics.NewRegistry(), Network: host{f.net, ip}})
 	require.NoError(f.t, n.Start())
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.nodes[nodeName(i)] = n
 }
 
+// node returns node i, or nil if it does not run.
+func (f *fleet) node(name string) *Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+// running returns the running nodes.
+func (f *fleet) running() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]*Node, 0, len(f.nodes))
+	for _, name := range slices.Sorted(maps.Keys(f.nodes)) {
+		out = append(out, f.nodes[name])
+	}
+	return out
+}
+
 // startBackend serves a stand-in backend server on the memory network and
 // announces it every 500 ms.
 func (f *fleet) startBackend(i int, config standin.Config) {
@@ -117,7 +150,7 @@
 	name := nodeName(i)
 	go func() {
 		for {
-			if n := f.nodes[name]; n != nil {
+			if n := f.node(name); n != nil {
 				a := server.Announcement()
 				_ = n.owner.announce(config.Name, announcement{
 					Service: config.Service, Address: address, Slots: 3, Connections: 100, Incarnation: a.Incarnation, State: a.State,
@@ -128,6 +161,8 @@
 			}
 		}
 	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.backends[name] = b
 }
 
@@ -135,36 +170,64 @@
 func (f *fleet) kill(i int) {
 	name := nodeName(i)
 	f.killBackend(name)
+	f.mu.Lock()
 	n := f.nodes[name]
 	delete(f.nodes, name)
+	f.mu.Unlock()
 	n.Close()
 }
 
+// stop shuts a node down gracefully.
+func (f *fleet) stop(i int) error {
+	name := nodeName(i)
+	err := f.node(name).Stop(context.Background())
+	f.mu.Lock()
+	delete(f.nodes, name)
+	f.mu.Unlock()
+	f.killBackend(name)
+	return err
+}
+
 func (f *fleet) killBackend(name string) {
+	f.mu.Lock()
 	b := f.backends[name]
+	delete(f.backends, name)
+	f.mu.Unlock()
 	if b == nil {
 		return
 	}
-	delete(f.backends, name)
 	b.stop()
 	b.http.Close()
 	b.server.Kill()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, n := range b.server.Executions().Keys {
+		f.executions[key] += n
+	}
+}
+
+// executed returns how often the request with the key was executed.
+func (f *fleet) executed(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := f.executions[key]
+	for _, b := range f.backends {
+		total += b.server.Executions().Keys[key]
+	}
+	return total
 }
 
 func (f *fleet) close() {
 	f.client.CloseIdleConnections()
-	for name := range f.backends {
-		f.killBackend(name)
-	}
-	for name, n := range f.nodes {
-		delete(f.nodes, name)
+	for _, n := range f.running() {
+		f.killBackend(n.settings.Node.Name)
 		n.Close()
 	}
 	time.Sleep(2 * time.Minute) // Ends delayed closes of sessions and streams.
 }
 
 func (f *fleet) all(condition func(*Node) bool) bool {
-	for _, n := range f.nodes {
+	for _, n := range f.running() {
 		if !condition(n) {
 			return false
 		}
@@ -256,7 +319,15 @@
 	return f.send(i, http.MethodPost, "/orders", `{"order":"`+key+`"}`, "Authorization", "Bearer "+f.keys["walkers"], "Idempotency-Key", key)
 }
 
-func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+// newKey returns a UUIDv7 with the time of the virtual clock. uuid.NewV7 keeps
+// the latest time that it saw in the process, which may be that of the real clock.
+func newKey() string {
+	id := uuid.New()
+	ms := uint64(time.Now().UnixMilli())
+	binary.BigEndian.PutUint64(id[:8], ms<<16|uint64(id[6])<<8|uint64(id[7]))
+	id[6] = id[6]&0x0f | 0x70
+	return id.String()
+}
 
 // Guards against a break of the request path under the virtual clock, on which
 // the tests of failures build.
