Add the administration API and its client

Operators need to check, apply and audit configuration changes against the version that they read. A commit id chosen by the client makes a repeat after a lost answer recognisable.

--- /dev/null
+++ b/admin/api.go
@@ -0,0 +1,138 @@
+package admin
+
+import (
+	"time"
+
+	"trefoildock.example/rules"
+)
+
+// Paths of the API.
+const (
+	pathConfiguration  = "/v1/configuration"
+	pathCheck          = "/v1/configuration/check"
+	pathDiff           = "/v1/configuration/diff"
+	pathDeltas         = "/v1/configuration/deltas"
+	pathZones          = "/v1/zones/"
+	pathBackendServers = "/v1/backend-servers/"
+	pathTeams          = "/v1/teams/"
+	pathWithdrawals    = "/v1/keys/withdrawals"
+	pathStatus         = "/v1/status"
+	pathAudit          = "/v1/audit"
+)
+
+// Service states of an availability zone or a backend server.
+const (
+	StateIn  = "in"
+	StateOut = "out"
+)
+
+// ConfigurationResponse is a configuration in canonical form.
+type ConfigurationResponse struct {
+	Version uint64   `json:"version"`
+	Lines   []string `json:"lines"`
+}
+
+// RulesFile is the text of a rules file. The name is used in error messages.
+type RulesFile struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// CheckResponse counts the rules of a file without faults.
+type CheckResponse struct {
+	Rules int `json:"rules"`
+}
+
+// DiffResponse is the delta from the current version to a file.
+type DiffResponse struct {
+	Version uint64      `json:"version"`
+	Delta   rules.Delta `json:"delta"`
+}
+
+// Change identifies a change and the person who asked for it.
+type Change struct {
+	CommitID string `json:"commit_id"` // 8 to 63 letters, digits, '.', '_' and '-'; the same for a repeat
+	Comment  string `json:"comment"`   // "requester: reason"
+}
+
+// DeltaRequest asks for a delta to be applied to the version that was read.
+type DeltaRequest struct {
+	Change
+	ReadVersion *uint64     `json:"read_version"`
+	Delta       rules.Delta `json:"delta"`
+}
+
+// FileRequest asks for the version that was read to be replaced by a rules file.
+type FileRequest struct {
+	Change
+	ReadVersion *uint64   `json:"read_version"`
+	File        RulesFile `json:"file"`
+}
+
+// StateRequest asks for a service state, StateIn or StateOut.
+type StateRequest struct {
+	Change
+	State string `json:"state"`
+}
+
+// IssueRequest asks for a new key of a team.
+type IssueRequest struct {
+	Change
+}
+
+// WithdrawRequest asks for the withdrawal of one key or of all keys of a team;
+// exactly one of Digest and Team must be set.
+type WithdrawRequest struct {
+	Change
+	Digest string `json:"digest,omitempty"` // "sha256:<64 hex digits>"
+	Team   string `json:"team,omitempty"`
+}
+
+// ChangeResponse is the result of a change.
+type ChangeResponse struct {
+	Version    uint64      `json:"version"`
+	CommitID   string      `json:"commit_id"`
+	Changed    bool        `json:"changed"`  // false if the configuration was already as asked for
+	Repeated   bool        `json:"repeated"` // an earlier request with this commit id made the change
+	Delta      rules.Delta `json:"delta"`
+	Acceptance *Acceptance `json:"acceptance,omitempty"` // absent if nothing was changed
+}
+
+// Accepted reports whether a quorum of attesters acknowledged the change, or
+// there was nothing to change.
+func (r *ChangeResponse) Accepted() bool {
+	return r.Acceptance == nil || r.Acceptance.Accepted
+}
+
+// IssueResponse is a new key. The key in clear is not stored and cannot be read again.
+type IssueResponse struct {
+	ChangeResponse
+	Key    string `json:"key"`
+	Digest string `json:"digest"`
+}
+
+// AuditEntry is one record of the audit trail.
+type AuditEntry struct {
+	Version     uint64      `json:"version"`
+	ReadVersion uint64      `json:"read_version"`
+	Time        time.Time   `json:"time"`
+	Operator    string      `json:"operator"`
+	Requester   string      `json:"requester"`
+	Reason      string      `json:"reason"`
+	Delta       rules.Delta `json:"delta"`
+}
+
+// AuditResponse is one page of the audit trail, oldest record first.
+type AuditResponse struct {
+	Entries []AuditEntry `json:"entries"`
+	Next    uint64       `json:"next,omitempty"` // value of After for the next page; 0 at the end
+}
+
+// AuditQuery selects records of the audit trail. Zero fields select everything.
+type AuditQuery struct {
+	After     uint64 // version before the first record
+	Limit     int    // records of a page; default 100, up to 1000
+	Operator  string
+	Requester string
+	From, To  time.Time // From is included, To is not
+}
--- /dev/null
+++ b/admin/configuration.go
@@ -0,0 +1,106 @@
+package admin
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+
+	"trefoildock.example/rules"
+)
+
+// defaultFileName stands in error messages of a rules file without a name.
+const defaultFileName = "rules"
+
+func (h *handler) readConfiguration(ctx iris.Context) (reply, error) {
+	config, version, err := h.current.read(ctx.Request().Context())
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{http.StatusOK, ConfigurationResponse{Version: version, Lines: config.Lines()}}, nil
+}
+
+func (h *handler) check(ctx iris.Context) (reply, error) {
+	var file RulesFile
+	if err := decodeBody(ctx, MaxFileBodyBytes, &file); err != nil {
+		return reply{}, err
+	}
+	config, err := file.parse()
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{http.StatusOK, CheckResponse{Rules: countRules(config)}}, nil
+}
+
+func (h *handler) diff(ctx iris.Context) (reply, error) {
+	var file RulesFile
+	if err := decodeBody(ctx, MaxFileBodyBytes, &file); err != nil {
+		return reply{}, err
+	}
+	to, err := file.parse()
+	if err != nil {
+		return reply{}, err
+	}
+	from, version, err := h.current.read(ctx.Request().Context())
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{http.StatusOK, DiffResponse{Version: version, Delta: rules.Diff(from, to)}}, nil
+}
+
+func (h *handler) applyFile(ctx iris.Context) (reply, error) {
+	var request FileRequest
+	if err := decodeBody(ctx, MaxFileBodyBytes, &request); err != nil {
+		return reply{}, err
+	}
+	if request.ReadVersion == nil {
+		return reply{}, badRequest("read_version: expected the version that was read")
+	}
+	to, err := request.File.parse()
+	if err != nil {
+		return reply{}, err
+	}
+	return h.makeChange(ctx, change{
+		Change:      request.Change,
+		readVersion: request.ReadVersion,
+		build:       func(from *rules.Config) (rules.Delta, error) { return rules.Diff(from, to), nil },
+	})
+}
+
+func (h *handler) applyDelta(ctx iris.Context) (reply, error) {
+	var request DeltaRequest
+	if err := decodeBody(ctx, MaxBodyBytes, &request); err != nil {
+		return reply{}, err
+	}
+	if request.ReadVersion == nil {
+		return reply{}, badRequest("read_version: expected the version that was read")
+	}
+	for _, line := range slices.Concat(request.Delta.Removed, request.Delta.Added) {
+		if strings.ContainsAny(line, "\r\n") {
+			return reply{}, badRequest("delta: expected one rule per line, without line breaks")
+		}
+	}
+	return h.makeChange(ctx, change{
+		Change:      request.Change,
+		readVersion: request.ReadVersion,
+		build:       func(*rules.Config) (rules.Delta, error) { return request.Delta, nil },
+	})
+}
+
+// parse reads the rules of the file. The error is a rules.ErrorList or a Problem.
+func (f *RulesFile) parse() (*rules.Config, error) {
+	name := f.Name
+	if name == "" {
+		name = defaultFileName
+	}
+	if len(name) > maxFileNameLength {
+		return nil, badRequest("name: expected at most %d bytes", maxFileNameLength)
+	}
+	return rules.Parse(name, strings.NewReader(f.Text))
+}
+
+// countRules returns the number of rules of a configuration.
+func countRules(c *rules.Config) int {
+	return len(c.Services) + len(c.Routes) + len(c.Teams) + len(c.Keys) + len(c.Zones) + len(c.BackendServers)
+}
