Commit changes of the administration API through configstore

The store recognises repeats only of an identical delta. A repeat of a zone, key or file change is built against a newer configuration, so the API searches the latest entries for the commit id and compares the change with the configuration before that entry.

--- a/admin/api.go
+++ b/admin/api.go
@@ -119,6 +119,8 @@
 	Operator    string      `json:"operator"`
 	Requester   string      `json:"requester"`
 	Reason      string      `json:"reason"`
+	Action      string      `json:"action"`
+	CommitID    string      `json:"commit_id"`
 	Delta       rules.Delta `json:"delta"`
 }
 
--- a/admin/audit.go
+++ b/admin/audit.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
+	"trefoildock.example/configstore"
 	"trefoildock.example/rules"
 )
 
@@ -40,13 +41,13 @@
 				page.Next = after
 				return page, nil
 			}
-			after = records[i].Version
+			after = records[i].To
 			if query.selects(&records[i]) {
 				page.Entries = append(page.Entries, auditEntry(&records[i]))
 			}
 		}
 		scanned += len(records)
-		if len(records) < entryPage {
+		if len(records) == 0 {
 			return page, nil
 		}
 	}
@@ -55,23 +56,25 @@
 }
 
 // selects reports whether the record passes the filters.
-func (q *AuditQuery) selects(r *AuditRecord) bool {
+func (q *AuditQuery) selects(r *configstore.AuditRecord) bool {
 	return (q.Operator == "" || q.Operator == r.Operator) &&
 		(q.Requester == "" || q.Requester == rules.Comment(r.Requester).Requester()) &&
 		(q.From.IsZero() || !r.Time.Before(q.From)) &&
 		(q.To.IsZero() || r.Time.Before(q.To))
 }
 
-func auditEntry(r *AuditRecord) AuditEntry {
+func auditEntry(r *configstore.AuditRecord) AuditEntry {
 	comment := rules.Comment(r.Requester)
 	return AuditEntry{
-		Version:     r.Version,
-		ReadVersion: r.ReadVersion,
+		Version:     r.To,
+		ReadVersion: r.From,
 		Time:        r.Time.UTC(),
 		Operator:    r.Operator,
 		Requester:   comment.Requester(),
 		Reason:      comment.Reason(),
-		Delta:       r.Delta,
+		Action:      r.Action,
+		CommitID:    r.CommitID,
+		Delta:       rules.Delta{Removed: r.Removed, Added: r.Added},
 	}
 }
 
--- a/admin/client.go
+++ b/admin/client.go
@@ -37,7 +37,7 @@
 	Backoff time.Duration
 }
 
-// Client calls the administration API. Its methods return a *Problem if the
+// Client calls the administration API. Its methods return a *ProblemError if the
 // server refused the request, and an *UnreachableError if there was no answer.
 // A change whose answer is lost is repeated with the same commit id.
 type Client struct {
@@ -133,7 +133,7 @@
 	if errors.As(err, &unreachable) {
 		return unreachable.MayHaveRun, true
 	}
-	var problem *Problem
+	var problem *ProblemError
 	if errors.As(err, &problem) {
 		return problem.Code == CodeOutcomeUnknown, problem.Status == http.StatusServiceUnavailable
 	}
@@ -206,7 +206,7 @@
 		}
 		return nil
 	}
-	problem := &Problem{}
+	problem := &ProblemError{}
 	if err := json.Unmarshal(text, problem); err != nil || problem.Status != response.StatusCode {
 		return errors.Newf("unexpected answer of the server: %s", response.Status)
 	}
--- a/admin/cluster.go
+++ b/admin/cluster.go
@@ -1,6 +1,10 @@
 package admin
 
-import "context"
+import (
+	"context"
+
+	"trefoildock.example/configstore"
+)
 
 // Cluster is the node's side of the administration API.
 type Cluster interface {
@@ -8,7 +12,7 @@
 	Status(ctx context.Context) Status
 	// Publish applies a committed change and waits until it is accepted, or until
 	// the context or the node's own limit ends the wait.
-	Publish(ctx context.Context, entry ConfigEntry) Acceptance
+	Publish(ctx context.Context, entry configstore.ConfigEntry) Acceptance
 }
 
 // Acceptance tells how far a committed change has spread.
--- a/admin/commit.go
+++ b/admin/commit.go
@@ -4,34 +4,39 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
-	"trefoildock.example/platform"
+	"trefoildock.example/configstore"
 	"trefoildock.example/rules"
 )
 
+// Actions of the audit trail.
 const (
-	// outcomeAttempts bounds the attempts of a commit whose answer was lost.
-	outcomeAttempts = 3
-	// outcomeBackoff is the wait before the first repeat; it doubles.
-	outcomeBackoff = 100 * time.Millisecond
+	actionApplyFile  = "apply file"
+	actionApplyDelta = "apply delta"
+	actionZone       = "zone "
+	actionBackend    = "backend "
+	actionIssue      = "key issue"
+	actionWithdraw   = "key withdraw"
 )
 
+// buildDelta returns the delta that makes a change of a configuration.
+type buildDelta func(*rules.Config) (rules.Delta, error)
+
 // change is one requested change.
 type change struct {
 	Change
+	action   string
 	operator string
 	// readVersion is the version that the client read. If it is nil, the server
 	// builds the change against the head and resolves races itself.
 	readVersion *uint64
-	// build returns the delta that makes the change.
-	build func(*rules.Config) (rules.Delta, error)
-	// made reports whether a delta committed on top of a configuration is this
-	// change. Default: build returns the same delta.
-	made func(*rules.Config, rules.Delta) bool
+	build       buildDelta
+	// made reports whether a committed delta is this change. Default: build
+	// returns the same delta for the configuration before the commit.
+	made func(rules.Delta) bool
 }
 
 // commit makes a change, or recognises that it was made before, and waits for
@@ -41,142 +46,122 @@
 		return ChangeResponse{}, err
 	}
 	for attempt := 1; ; attempt++ {
-		config, head, err := h.current.read(ctx)
-		if err != nil {
-			return ChangeResponse{}, err
-		}
-		version, found, err := h.findCommit(ctx, c.CommitID, head)
+		head, err := h.config.Store.LoadConfig(ctx)
 		if err != nil {
 			return ChangeResponse{}, err
 		}
-		if found {
-			return h.finish(ctx, c, version, nil)
-		}
-		if c.readVersion != nil && *c.readVersion != head {
-			return ChangeResponse{}, &ConflictError{Read: *c.readVersion, Head: head}
-		}
-		delta, err := canonicalDelta(config, c.build)
-		if err != nil {
-			return ChangeResponse{}, err
+		response, err := h.commitOn(ctx, c, head)
+		var conflict *configstore.ConflictError
+		if c.readVersion != nil || attempt == commitAttempts || !errors.As(err, &conflict) {
+			return response, err
 		}
-		if delta.Empty() {
-			return ChangeResponse{Version: head, CommitID: c.CommitID}, nil
-		}
-		version, err = h.commitDelta(ctx, ConfigCommit{
-			ID: c.CommitID, ReadVersion: head, Delta: delta, Operator: c.operator, Requester: c.Comment,
-		})
-		var conflict *ConflictError
-		if c.readVersion == nil && attempt < commitAttempts && errors.As(err, &conflict) {
-			continue
-		}
-		if err != nil {
-			return ChangeResponse{}, err
-		}
-		return h.finish(ctx, c, version, &delta)
 	}
 }
 
-// canonicalDelta builds a delta, checks its result and returns it in canonical form.
-func canonicalDelta(config *rules.Config, build func(*rules.Config) (rules.Delta, error)) (rules.Delta, error) {
-	delta, err := build(config)
+// commitOn makes a change on top of a version. If nothing is to be committed, an
+// earlier request with this commit id may be the reason.
+func (h *handler) commitOn(ctx context.Context, c change, head *configstore.ConfigState) (ChangeResponse, error) {
+	if c.readVersion != nil && *c.readVersion != head.Version {
+		return h.repeatOr(ctx, c, head, ChangeResponse{},
+			&configstore.ConflictError{Read: *c.readVersion, Head: head.Version})
+	}
+	delta, err := canonicalDelta(head.Config, c.build)
 	if err != nil {
-		return rules.Delta{}, err
+		return h.repeatOr(ctx, c, head, ChangeResponse{}, err)
+	}
+	if delta.Empty() {
+		return h.repeatOr(ctx, c, head, ChangeResponse{Version: head.Version, CommitID: c.CommitID}, nil)
+	}
+	version, err := h.config.Store.CommitConfig(ctx, configstore.ConfigCommit{
+		ID:          c.CommitID,
+		ReadVersion: head.Version,
+		Delta:       delta,
+		Operator:    c.operator,
+		Requester:   c.Comment,
+		Action:      c.action,
+	})
+	if errors.Is(err, configstore.ErrCommitIDReused) {
+		return h.reused(ctx, c, err)
 	}
-	next, err := config.Apply(delta)
 	if err != nil {
-		return rules.Delta{}, err
+		return ChangeResponse{}, err
 	}
-	return rules.Diff(config, next), nil
+	entry := configstore.ConfigEntry{Version: version, CommitID: c.CommitID, Delta: delta}
+	return h.finish(ctx, entry, version != head.Version+1), nil
 }
 
-// findCommit looks for a commit id in the log. It asks for a commit on top of
-// version 0, which the store refuses once the log has an entry, unless it
-// recognises the id.
-func (h *handler) findCommit(ctx context.Context, id string, head uint64) (version uint64, found bool, err error) {
-	if head == 0 {
-		return 0, false, nil
+// repeatOr returns the result of an earlier request with this commit id, or the
+// given result if there was none.
+func (h *handler) repeatOr(ctx context.Context, c change, head *configstore.ConfigState, response ChangeResponse, otherwise error) (ChangeResponse, error) {
+	found, err := h.findCommit(ctx, c.CommitID, head)
+	if err != nil {
+		return ChangeResponse{}, err
 	}
-	version, err = h.config.Store.CommitConfig(ctx, ConfigCommit{ID: id})
-	var conflict *ConflictError
-	if errors.As(err, &conflict) {
-		return 0, false, nil
+	if found == nil {
+		return response, otherwise
 	}
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		// The transaction can have had no effect.
-		err = errors.Wrap(platform.ErrUnavailable, "look for the commit id")
+	if !c.wasMade(found) {
+		return ChangeResponse{}, commitIDReused("version %d, which is another change", found.entry.Version)
 	}
-	return version, err == nil, err
+	return h.finish(ctx, found.entry, true), nil
 }
 
-// commitDelta commits and repeats the commit while its outcome is unknown.
-func (h *handler) commitDelta(ctx context.Context, commit ConfigCommit) (uint64, error) {
-	backoff := outcomeBackoff
-	version, err := h.config.Store.CommitConfig(ctx, commit)
-	for attempt := 1; errors.Is(err, platform.ErrOutcomeUnknown) && attempt < outcomeAttempts; attempt++ {
-		select {
-		case <-time.After(backoff):
-		case <-ctx.Done():
-			return 0, err
-		}
-		backoff *= 2
-		var again error
-		version, again = h.config.Store.CommitConfig(ctx, commit)
-		// An unavailable platform says nothing about the earlier attempt.
-		if !errors.Is(again, platform.ErrUnavailable) {
-			err = again
-		}
+// reused handles a commit id that the store knows with another content. It is
+// the same change if the delta differs only because the configuration changed
+// in between.
+func (h *handler) reused(ctx context.Context, c change, refusal error) (ChangeResponse, error) {
+	// The head may have moved past the version that the change was built on.
+	head, err := h.config.Store.LoadConfig(ctx)
+	if err != nil {
+		return ChangeResponse{}, err
 	}
-	return version, err
+	return h.repeatOr(ctx, c, head, ChangeResponse{}, refusal)
 }
 
-// finish verifies that a committed version is the change and publishes it. The
-// delta is nil if the commit id was found in the log.
-func (h *handler) finish(ctx context.Context, c change, version uint64, delta *rules.Delta) (ChangeResponse, error) {
-	before, entry, err := h.current.before(ctx, version)
-	if errors.Is(err, platform.ErrUnavailable) {
-		// The change is committed, so the client has to repeat its request to learn more.
-		return ChangeResponse{}, errors.Wrap(platform.ErrOutcomeUnknown, "read the committed change")
-	}
+// canonicalDelta builds a delta, checks its result and returns it in canonical form.
+func canonicalDelta(config *rules.Config, build buildDelta) (rules.Delta, error) {
+	delta, err := build(config)
 	if err != nil {
-		return ChangeResponse{}, err
+		return rules.Delta{}, err
 	}
-	repeated := delta == nil || !equalDeltas(*delta, entry.Delta)
-	if repeated && !c.wasMade(before, entry.Delta) {
-		return ChangeResponse{}, newCommitIDReused("version %d, which is another change", version)
+	next, err := config.Apply(delta)
+	if err != nil {
+		return rules.Delta{}, err
 	}
-	acceptance := h.publish(ctx, entry)
-	return ChangeResponse{
-		Version:    version,
-		CommitID:   c.CommitID,
-		Changed:    true,
-		Repeated:   repeated,
-		Delta:      entry.Delta,
-		Acceptance: &acceptance,
-	}, nil
-}
-
-// publish spreads an entry even if the client gives up, because the entry is in the log.
-func (h *handler) publish(ctx context.Context, entry ConfigEntry) Acceptance {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.config.PublishTimeout)
-	defer cancel()
-	return h.config.Cluster.Publish(ctx, entry)
+	return rules.Diff(config, next), nil
 }
 
-// wasMade reports whether a committed delta is this change.
-func (c *change) wasMade(before *rules.Config, committed rules.Delta) bool {
+// wasMade reports whether a commit in the log is this change.
+func (c *change) wasMade(found *madeCommit) bool {
 	if c.made != nil {
-		return c.made(before, committed)
+		return c.made(found.entry.Delta)
 	}
-	delta, err := canonicalDelta(before, c.build)
-	return err == nil && equalDeltas(delta, committed)
+	delta, err := canonicalDelta(found.before, c.build)
+	return err == nil && equalDeltas(delta, found.entry.Delta)
 }
 
 func equalDeltas(a, b rules.Delta) bool {
 	return slices.Equal(a.Removed, b.Removed) && slices.Equal(a.Added, b.Added)
 }
 
-// newCommitIDReused returns a problem that says what the commit id belongs to.
-func newCommitIDReused(format string, args ...any) *Problem {
+// finish publishes a committed entry. It does so even if the client gives up,
+// because the entry is in the log.
+func (h *handler) finish(ctx context.Context, entry configstore.ConfigEntry, repeated bool) ChangeResponse {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.config.PublishTimeout)
+	defer cancel()
+	acceptance := h.config.Cluster.Publish(ctx, entry)
+	return ChangeResponse{
+		Version:    entry.Version,
+		CommitID:   entry.CommitID,
+		Changed:    true,
+		Repeated:   repeated,
+		Delta:      entry.Delta,
+		Acceptance: &acceptance,
+	}
+}
+
+// commitIDReused returns a problem that says what the commit id belongs to.
+func commitIDReused(format string, args ...any) *ProblemError {
 	return newProblem(http.StatusUnprocessableEntity, CodeCommitIDReused, "the commit id belongs to "+format+"; nothing was changed", args...)
 }
 
--- a/admin/config.go
+++ b/admin/config.go
@@ -24,8 +24,9 @@
 	// maxFileNameLength bounds the name of a rules file, in bytes.
 	maxFileNameLength = 1024
 	// maxCommentLength bounds the comment of a change, in bytes.
-	maxCommentLength = 512
-	// entryPage is the number of entries read from the log at a time.
+	maxCommentLength = 256
+	// entryPage is the number of entries read from the log at a time. The store
+	// may return fewer, so only an empty page is the end.
 	entryPage = 256
 	// defaultAuditLimit and maxAuditLimit are numbers of records in a page.
 	defaultAuditLimit = 100
--- a/admin/configuration.go
+++ b/admin/configuration.go
@@ -14,11 +14,11 @@
 const defaultFileName = "rules"
 
 func (h *handler) readConfiguration(ctx iris.Context) (reply, error) {
-	config, version, err := h.current.read(ctx.Request().Context())
+	state, err := h.config.Store.LoadConfig(ctx.Request().Context())
 	if err != nil {
 		return reply{}, err
 	}
-	return reply{http.StatusOK, ConfigurationResponse{Version: version, Lines: config.Lines()}}, nil
+	return reply{http.StatusOK, ConfigurationResponse{Version: state.Version, Lines: state.Config.Lines()}}, nil
 }
 
 func (h *handler) check(ctx iris.Context) (reply, error) {
@@ -42,11 +42,11 @@
 	if err != nil {
 		return reply{}, err
 	}
-	from, version, err := h.current.read(ctx.Request().Context())
+	from, err := h.config.Store.LoadConfig(ctx.Request().Context())
 	if err != nil {
 		return reply{}, err
 	}
-	return reply{http.StatusOK, DiffResponse{Version: version, Delta: rules.Diff(from, to)}}, nil
+	return reply{http.StatusOK, DiffResponse{Version: from.Version, Delta: rules.Diff(from.Config, to)}}, nil
 }
 
 func (h *handler) applyFile(ctx iris.Context) (reply, error) {
@@ -63,6 +63,7 @@
 	}
 	return h.makeChange(ctx, change{
 		Change:      request.Change,
+		action:      actionApplyFile,
 		readVersion: request.ReadVersion,
 		build:       func(from *rules.Config) (rules.Delta, error) { return rules.Diff(from, to), nil },
 	})
@@ -83,12 +84,13 @@
 	}
 	return h.makeChange(ctx, change{
 		Change:      request.Change,
+		action:      actionApplyDelta,
 		readVersion: request.ReadVersion,
 		build:       func(*rules.Config) (rules.Delta, error) { return request.Delta, nil },
 	})
 }
 
-// parse reads the rules of the file. The error is a rules.ErrorList or a Problem.
+// parse reads the rules of the file. The error is a rules.ErrorList or a *ProblemError.
 func (f *RulesFile) parse() (*rules.Config, error) {
 	name := f.Name
 	if name == "" {
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -13,9 +13,8 @@
 
 // handler holds what the endpoints share.
 type handler struct {
-	config  Config
-	current *currentConfig
-	files   chan struct{} // slots of requests with a rules file
+	config Config
+	files  chan struct{} // slots of requests with a rules file
 }
 
 // reply is a successful answer.
@@ -35,9 +34,8 @@
 	}
 	config = config.withDefaults()
 	h := &handler{
-		config:  config,
-		current: newCurrentConfig(config.Store),
-		files:   make(chan struct{}, maxFileRequests),
+		config: config,
+		files:  make(chan struct{}, maxFileRequests),
 	}
 	app := newApplication()
 	h.route(app)
@@ -53,13 +51,12 @@
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithConfiguration(iris.Configuration{
-		LogLevel:                  "disable",
-		DisableStartupLog:         true,
-		DisableInterruptHandler:   true,
-		DisablePathCorrection:     true,
-		DisableAutoFireStatusCode: true,
-		FireMethodNotAllowed:      true,
-		Charset:                   "utf-8",
+		LogLevel:                "disable",
+		DisableStartupLog:       true,
+		DisableInterruptHandler: true,
+		DisablePathCorrection:   true,
+		FireMethodNotAllowed:    true,
+		Charset:                 "utf-8",
 	}))
 	return app
 }
@@ -69,7 +66,7 @@
 	app.OnErrorCode(http.StatusNotFound, h.serve(func(iris.Context) (reply, error) {
 		return reply{}, newProblem(http.StatusNotFound, CodeNotFound, "there is no such resource")
 	}))
-	app.OnErrorCode(http.StatusMethodNotAllowed, h.serve(func(ctx iris.Context) (reply, error) {
+	app.OnErrorCode(http.StatusMethodNotAllowed, h.serve(func(iris.Context) (reply, error) {
 		return reply{}, newProblem(http.StatusMethodNotAllowed, CodeMethodNotAllowed, "the resource does not allow this method")
 	}))
 
@@ -80,7 +77,7 @@
 	app.Post(pathDeltas, h.serve(h.applyDelta))
 	app.Put(pathZones+"{name:string}", h.serve(h.setZone))
 	app.Put(pathBackendServers+"{name:string}", h.serve(h.setBackendServer))
-	app.Post(pathTeams+"{name:string}/keys", h.serve(h.issueKey))
+	app.Post(pathTeams+"{team:string}/keys", h.serve(h.issueKey))
 	app.Post(pathWithdrawals, h.serve(h.withdrawKeys))
 	app.Get(pathStatus, h.serve(h.status))
 	app.Get(pathAudit, h.serve(h.audit))
--- a/admin/keys.go
+++ b/admin/keys.go
@@ -31,6 +31,7 @@
 	key := rules.Key{Digest: digest, Team: team, Comment: rules.Comment(request.Comment)}
 	response, err := h.commit(ctx.Request().Context(), change{
 		Change:   request.Change,
+		action:   actionIssue,
 		operator: operator(ctx),
 		build: func(config *rules.Config) (rules.Delta, error) {
 			if _, found := config.Teams[team]; !found {
@@ -38,7 +39,7 @@
 			}
 			return rules.Delta{Added: []string{key.String()}}, nil
 		},
-		made: func(_ *rules.Config, committed rules.Delta) bool {
+		made: func(committed rules.Delta) bool {
 			return len(committed.Removed) == 0 && len(committed.Added) == 1 &&
 				replaceDigest(committed.Added[0], digest) == key.String()
 		},
@@ -63,7 +64,7 @@
 }
 
 // keyAlreadyIssued names the digest of a key whose clear text was in a lost answer.
-func keyAlreadyIssued(r *ChangeResponse) *Problem {
+func keyAlreadyIssued(r *ChangeResponse) *ProblemError {
 	digest := strings.Fields(r.Delta.Added[0])[2]
 	p := newProblem(http.StatusConflict, CodeKeyAlreadyIssued,
 		"version %d issued the key %s for this commit id, and its clear text cannot be shown again; if it was lost, withdraw the key and issue another",
@@ -81,11 +82,11 @@
 	if err != nil {
 		return reply{}, err
 	}
-	return h.makeChange(ctx, change{Change: request.Change, build: build})
+	return h.makeChange(ctx, change{Change: request.Change, action: actionWithdraw, build: build})
 }
 
 // build returns the function that removes the keys.
-func (r *WithdrawRequest) build() (func(*rules.Config) (rules.Delta, error), error) {
+func (r *WithdrawRequest) build() (buildDelta, error) {
 	if (r.Digest == "") == (r.Team == "") {
 		return nil, badRequest("expected either digest or team")
 	}
--- a/admin/problem.go
+++ b/admin/problem.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoildock.example/configstore"
 	"trefoildock.example/platform"
 	"trefoildock.example/rules"
 )
@@ -31,8 +32,8 @@
 	CodeInternal            = "internal"
 )
 
-// Problem is an RFC 9457 problem body and the error that the client returns for it.
-type Problem struct {
+// ProblemError is an RFC 9457 problem body and the error that the client returns for it.
+type ProblemError struct {
 	Type   string `json:"type"` // URN that ends in the code
 	Title  string `json:"title"`
 	Status int    `json:"status"`
@@ -70,7 +71,7 @@
 }
 
 // Error returns the title and the detail.
-func (p *Problem) Error() string {
+func (p *ProblemError) Error() string {
 	if p.Detail == "" {
 		return p.Title
 	}
@@ -78,8 +79,8 @@
 }
 
 // newProblem returns a problem with a formatted detail.
-func newProblem(status int, code, format string, args ...any) *Problem {
-	return &Problem{
+func newProblem(status int, code, format string, args ...any) *ProblemError {
+	return &ProblemError{
 		Type:   problemTypePrefix + code,
 		Title:  http.StatusText(status),
 		Status: status,
@@ -88,18 +89,18 @@
 	}
 }
 
-func badRequest(format string, args ...any) *Problem {
+func badRequest(format string, args ...any) *ProblemError {
 	return newProblem(http.StatusBadRequest, CodeBadRequest, format, args...)
 }
 
-func conflictProblem(read, head uint64) *Problem {
+func conflictProblem(read, head uint64) *ProblemError {
 	p := newProblem(http.StatusConflict, CodeConflict,
 		"the change is based on version %d, but the current version is %d; nothing was changed", read, head)
 	p.ReadVersion, p.HeadVersion = &read, &head
 	return p
 }
 
-func invalidRules(list rules.ErrorList) *Problem {
+func invalidRules(list rules.ErrorList) *ProblemError {
 	p := newProblem(http.StatusUnprocessableEntity, CodeInvalidRules, "%d faults in the rules; nothing was changed", len(list))
 	if len(list) > maxReportedErrors {
 		list = list[:maxReportedErrors]
@@ -109,9 +110,9 @@
 }
 
 // problemOf converts an error of a lower layer.
-func problemOf(err error) *Problem {
-	var problem *Problem
-	var conflict *ConflictError
+func problemOf(err error) *ProblemError {
+	var problem *ProblemError
+	var conflict *configstore.ConflictError
 	var list rules.ErrorList
 	switch {
 	case errors.As(err, &problem):
@@ -120,6 +121,10 @@
 		return conflictProblem(conflict.Read, conflict.Head)
 	case errors.As(err, &list):
 		return invalidRules(list)
+	case errors.Is(err, configstore.ErrCommitIDReused):
+		return commitIDReused("another change")
+	case errors.Is(err, configstore.ErrInvalidCommit):
+		return badRequest("%v", err)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		p := newProblem(http.StatusServiceUnavailable, CodeOutcomeUnknown,
 			"the platform's answer was lost, so the change may have been committed; repeat it with the same commit id")
--- a/admin/states.go
+++ b/admin/states.go
@@ -18,6 +18,7 @@
 	members := h.config.Cluster.Status(ctx.Request().Context()).Members
 	return h.makeChange(ctx, change{
 		Change: request.Change,
+		action: actionZone + request.State,
 		build: func(config *rules.Config) (rules.Delta, error) {
 			zone, hasRule := config.Zones[name]
 			if !hasRule && !slices.ContainsFunc(members, func(m MemberStatus) bool { return m.Zone == name }) {
@@ -36,6 +37,7 @@
 	}
 	return h.makeChange(ctx, change{
 		Change: request.Change,
+		action: actionBackend + request.State,
 		build: func(config *rules.Config) (rules.Delta, error) {
 			server, hasRule := config.BackendServers[name]
 			next := rules.BackendServer{Name: name, Out: out, Comment: rules.Comment(request.Comment)}
@@ -78,7 +80,7 @@
 
 // unknownZone names the zones that exist, because a mistyped name would leave
 // the zone that was meant in service.
-func unknownZone(config *rules.Config, members []MemberStatus, name string) *Problem {
+func unknownZone(config *rules.Config, members []MemberStatus, name string) *ProblemError {
 	var known []string
 	for zone := range config.Zones {
 		known = append(known, zone)
