--- a/admin/api.go
+++ b/admin/api.go
@@ -95,11 +95,10 @@
 	Changed    bool        `json:"changed"`  // false if the configuration was already as asked for
 	Repeated   bool        `json:"repeated"` // an earlier request with this commit id made the change
 	Delta      rules.Delta `json:"delta"`
-	Acceptance *Acceptance `json:"acceptance,omitempty"` // absent if nothing was changed
+	Acceptance *Acceptance `json:"acceptance,omitempty"` // absent for version 0
 }
 
-// Accepted reports whether a quorum of attesters acknowledged the change, or
-// there was nothing to change.
+// Accepted reports whether a quorum of attesters acknowledged the version.
 func (r *ChangeResponse) Accepted() bool {
 	return r.Acceptance == nil || r.Acceptance.Accepted
 }
--- a/admin/cluster.go
+++ b/admin/cluster.go
@@ -11,7 +11,8 @@
 	// Status returns the node's view of the cluster without any I/O.
 	Status(ctx context.Context) Status
 	// Publish applies a committed change and waits until it is accepted, or until
-	// the context or the node's own limit ends the wait.
+	// the context or the node's own limit ends the wait. The entry may be older
+	// than the version in force, or be published again, when a change is repeated.
 	Publish(ctx context.Context, entry configstore.ConfigEntry) Acceptance
 }
 
--- a/admin/commit.go
+++ b/admin/commit.go
@@ -70,7 +70,11 @@
 		return h.repeatOr(ctx, c, head, ChangeResponse{}, err)
 	}
 	if delta.Empty() {
-		return h.repeatOr(ctx, c, head, ChangeResponse{Version: head.Version, CommitID: c.CommitID}, nil)
+		response, err := h.unchanged(ctx, c, head.Version)
+		if err != nil {
+			return ChangeResponse{}, err
+		}
+		return h.repeatOr(ctx, c, head, response, nil)
 	}
 	version, err := h.config.Store.CommitConfig(ctx, configstore.ConfigCommit{
 		ID:          c.CommitID,
@@ -90,6 +94,22 @@
 	return h.finish(ctx, entry, version != head.Version+1), nil
 }
 
+// unchanged reports on a version that is as asked for. It may have been committed
+// a moment ago without a quorum, so its acceptance is reported as well.
+func (h *handler) unchanged(ctx context.Context, c change, version uint64) (ChangeResponse, error) {
+	response := ChangeResponse{Version: version, CommitID: c.CommitID}
+	if version == 0 {
+		return response, nil
+	}
+	entries, err := h.entries(ctx, version-1, version)
+	if err != nil {
+		return ChangeResponse{}, err
+	}
+	acceptance := h.publish(ctx, entries[0])
+	response.Acceptance = &acceptance
+	return response, nil
+}
+
 // repeatOr returns the result of an earlier request with this commit id, or the
 // given result if there was none.
 func (h *handler) repeatOr(ctx context.Context, c change, head *configstore.ConfigState, response ChangeResponse, otherwise error) (ChangeResponse, error) {
@@ -144,12 +164,17 @@
 	return slices.Equal(a.Removed, b.Removed) && slices.Equal(a.Added, b.Added)
 }
 
-// finish publishes a committed entry. It does so even if the client gives up,
+// publish spreads a committed entry. It does so even if the client gives up,
 // because the entry is in the log.
-func (h *handler) finish(ctx context.Context, entry configstore.ConfigEntry, repeated bool) ChangeResponse {
+func (h *handler) publish(ctx context.Context, entry configstore.ConfigEntry) Acceptance {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.config.PublishTimeout)
 	defer cancel()
-	acceptance := h.config.Cluster.Publish(ctx, entry)
+	return h.config.Cluster.Publish(ctx, entry)
+}
+
+// finish publishes a committed entry and returns the result of its change.
+func (h *handler) finish(ctx context.Context, entry configstore.ConfigEntry, repeated bool) ChangeResponse {
+	acceptance := h.publish(ctx, entry)
 	return ChangeResponse{
 		Version:    entry.Version,
 		CommitID:   entry.CommitID,
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
@@ -89,6 +90,9 @@
 		bounded, cancel := context.WithTimeout(ctx.Request().Context(), h.config.RequestTimeout)
 		defer cancel()
 		ctx.ResetRequest(ctx.Request().WithContext(bounded))
+		// A client that sends its body slowly must not hold the slot of a rules
+		// file. Writers without a connection have no deadline.
+		_ = http.NewResponseController(ctx.ResponseWriter().Naive()).SetReadDeadline(time.Now().Add(h.config.RequestTimeout))
 		answer, err := e(ctx)
 		if err != nil {
 			h.fail(ctx, err)
--- a/admin/handler_test.go
+++ b/admin/handler_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,6 +30,7 @@
 // fakeCluster accepts every entry unless it has no quorum.
 type fakeCluster struct {
 	noQuorum  bool
+	mu        sync.Mutex
 	published []uint64
 }
 
@@ -36,6 +39,8 @@
 }
 
 func (c *fakeCluster) Publish(_ context.Context, entry configstore.ConfigEntry) Acceptance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.published = append(c.published, entry.Version)
 	return Acceptance{Accepted: !c.noQuorum, Acknowledged: 1, Needed: 1, InForce: 2, Nodes: 2}
 }
@@ -46,9 +51,16 @@
 }
 
 // counter counts refusals by code.
-type counter map[string]int
+type counter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
 
-func (c counter) CountRefusal(code string) { c[code]++ }
+func (c *counter) CountRefusal(code string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[code]++
+}
 
 // server is a handler over an in-memory platform.
 type server struct {
@@ -56,7 +68,7 @@
 	platform *memory.Store
 	store    *configstore.Store
 	cluster  *fakeCluster
-	refusals counter
+	refusals *counter
 }
 
 func newServer(t testing.TB) *server {
@@ -68,7 +80,7 @@
 			RetryDelay: time.Nanosecond,
 		}),
 		cluster:  &fakeCluster{},
-		refusals: counter{},
+		refusals: &counter{counts: map[string]int{}},
 	}
 	s.handler = NewHandler(Config{Store: s.store, Cluster: s.cluster, Operator: fakeOperators, Refusals: s.refusals})
 	config, err := rules.Parse("base", strings.NewReader(baseRules))
@@ -115,7 +127,7 @@
 	w := httptest.NewRecorder()
 	s.handler.ServeHTTP(w, r)
 	require.Equal(t, http.StatusUnauthorized, w.Code, "two headers are ambiguous")
-	require.Equal(t, counter{CodeUnauthorized: 29}, s.refusals)
+	require.Equal(t, map[string]int{CodeUnauthorized: 29}, s.refusals.counts)
 }
 
 // Guards against malformed requests that are accepted or answered without a problem body.
@@ -163,7 +175,7 @@
 			require.Equal(t, tt.status, status, body)
 			require.Equal(t, tt.code, problem.Code, body)
 			require.Equal(t, status, problem.Status)
-			require.Equal(t, counter{tt.code: 1}, s.refusals)
+			require.Equal(t, map[string]int{tt.code: 1}, s.refusals.counts)
 			heads, err := s.store.Heads(t.Context())
 			require.NoError(t, err)
 			require.EqualValues(t, 1, heads.Config, "a refused request must change nothing")
@@ -312,11 +324,60 @@
 	require.True(t, unreachable.MayHaveRun)
 
 	transport.lose = 1
-	s.cluster.noQuorum = false
 	_, err = client.Status(t.Context())
 	require.ErrorAs(t, err, &unreachable, "a read is not repeated")
 }
 
+// Guards against lost updates between operators: each confirmed change must be
+// in the log exactly once, and each refused one not at all.
+func TestRacingOperators(t *testing.T) {
+	s := newServer(t)
+	const operators = 8
+	statuses := make([]int, operators)
+	var running sync.WaitGroup
+	for i := range operators {
+		running.Go(func() {
+			id := strconv.Itoa(i)
+			statuses[i], _ = s.do("PUT", pathBackendServers+"b-"+id, zoneBody("commit-"+id, "out"))
+		})
+	}
+	running.Wait()
+	state, err := s.store.LoadConfig(t.Context())
+	require.NoError(t, err)
+	confirmed := 0
+	for i, status := range statuses {
+		require.Contains(t, []int{http.StatusOK, http.StatusConflict}, status)
+		require.Equal(t, status == http.StatusOK, state.Config.BackendServerOut("b-"+strconv.Itoa(i)))
+		if status == http.StatusOK {
+			confirmed++
+		}
+	}
+	require.Positive(t, confirmed)
+	require.EqualValues(t, 1+confirmed, state.Version)
+}
+
+// Guards against a client that keeps the only slot for rules files by sending
+// its body without end.
+func TestSlowBody(t *testing.T) {
+	s := newServer(t)
+	listener := httptest.NewServer(NewHandler(Config{
+		Store: s.store, Cluster: s.cluster, Operator: fakeOperators, RequestTimeout: 50 * time.Millisecond,
+	}))
+	defer listener.Close()
+	for range 2 {
+		body, writer := io.Pipe()
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, listener.URL+pathCheck, body)
+		require.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer secret")
+		request.Header.Set("Content-Type", "application/json")
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		response.Body.Close()
+		_ = writer.Close()
+		require.Equal(t, http.StatusBadRequest, response.StatusCode)
+	}
+}
+
 // Guards against an unknown outcome that is reported as "nothing was changed".
 func TestUnknownOutcome(t *testing.T) {
 	problem := problemOf(errors.Wrap(platform.ErrOutcomeUnknown, "commit"))
--- /dev/null
+++ b/cmd/trefoildock/backend.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+
+	"trefoildock.example/admin"
+)
+
+// backendCmd groups the commands on backend servers.
+type backendCmd struct {
+	Out backendOutCmd `cmd:"" help:"Take a backend server out of service. It gets no new work after a few seconds."`
+	In  backendInCmd  `cmd:"" help:"Take a backend server back into service."`
+}
+
+// backendOutCmd takes a backend server out of service.
+type backendOutCmd struct {
+	changeFlags
+
+	Name string `arg:"" help:"Name of the backend server."`
+}
+
+// backendInCmd takes a backend server back into service.
+type backendInCmd struct {
+	changeFlags
+
+	Name string `arg:"" help:"Name of the backend server."`
+}
+
+// Run executes the command.
+func (c *backendOutCmd) Run(a *app) error {
+	return a.setBackendServer(&c.changeFlags, c.Name, admin.StateOut)
+}
+
+// Run executes the command.
+func (c *backendInCmd) Run(a *app) error {
+	return a.setBackendServer(&c.changeFlags, c.Name, admin.StateIn)
+}
+
+func (a *app) setBackendServer(flags *changeFlags, name, state string) error {
+	return a.makeChange(flags, func(ctx context.Context, client *admin.Client, change admin.Change) error {
+		response, err := client.SetBackendServer(ctx, name, admin.StateRequest{Change: change, State: state})
+		if err != nil {
+			return err
+		}
+		return a.showChange(&response, true)
+	})
+}
--- /dev/null
+++ b/cmd/trefoildock/change.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoildock.example/admin"
+)
+
+// changeFlags are the flags of all commands that change the configuration.
+type changeFlags struct {
+	Requester string `help:"Person who asked for the change." required:""`
+	Reason    string `help:"Reason for the change." required:""`
+	CommitID  string `help:"Identity of the change, to repeat a command whose outcome is unknown. Default: a new one." name:"commit-id" placeholder:"ID"`
+}
+
+// comment returns the comment of the change. The error is a usageError.
+func (f *changeFlags) comment() (string, error) {
+	if strings.Contains(f.Requester, ":") {
+		return "", &usageError{errors.New("--requester must not contain a colon")}
+	}
+	comment, ok := admin.NormaliseComment(f.Requester + ": " + f.Reason)
+	if !ok {
+		return "", &usageError{errors.New("--requester and --reason must be text without control characters, together at most 254 bytes")}
+	}
+	return comment, nil
+}
+
+// makeChange runs a change and adds its commit id to an error.
+func (a *app) makeChange(flags *changeFlags, send func(ctx context.Context, client *admin.Client, change admin.Change) error) error {
+	comment, err := flags.comment()
+	if err != nil {
+		return err
+	}
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	id := flags.CommitID
+	if id == "" {
+		if id, err = a.newCommitID(); err != nil {
+			return errors.Wrap(err, "generate a commit id")
+		}
+	}
+	ctx, cancel := a.withTimeout()
+	defer cancel()
+	err = send(ctx, client, admin.Change{CommitID: id, Comment: comment})
+	if err != nil && !errors.Is(err, errNotAccepted) {
+		return &changeError{id, err}
+	}
+	return err
+}
+
+// showChange writes the result of a change.
+func (a *app) showChange(r *admin.ChangeResponse, showDelta bool) error {
+	if a.JSON {
+		writeJSON(a.stdout, r)
+	} else {
+		if showDelta {
+			a.printDelta(r.Delta, "")
+		}
+		a.printChange(r)
+	}
+	return acceptanceError(r)
+}
+
+// acceptanceError returns errNotAccepted for a change without a quorum.
+func acceptanceError(r *admin.ChangeResponse) error {
+	if !r.Accepted() {
+		return errNotAccepted
+	}
+	return nil
+}
