Look for a repeat before waiting for the acceptance of an unchanged version

The wait was paid twice for a repeated change without a quorum. The body of a request is also read into a buffer of the announced length, because growing it step by step allocated a rules file several times.

--- a/admin/commit.go
+++ b/admin/commit.go
@@ -62,19 +62,14 @@
 // earlier request with this commit id may be the reason.
 func (h *handler) commitOn(ctx context.Context, c change, head *configstore.ConfigState) (ChangeResponse, error) {
 	if c.readVersion != nil && *c.readVersion != head.Version {
-		return h.repeatOr(ctx, c, head, ChangeResponse{},
-			&configstore.ConflictError{Read: *c.readVersion, Head: head.Version})
+		return h.repeatOr(ctx, c, head, refuse(&configstore.ConflictError{Read: *c.readVersion, Head: head.Version}))
 	}
 	delta, err := canonicalDelta(head.Config, c.build)
 	if err != nil {
-		return h.repeatOr(ctx, c, head, ChangeResponse{}, err)
+		return h.repeatOr(ctx, c, head, refuse(err))
 	}
 	if delta.Empty() {
-		response, err := h.unchanged(ctx, c, head.Version)
-		if err != nil {
-			return ChangeResponse{}, err
-		}
-		return h.repeatOr(ctx, c, head, response, nil)
+		return h.repeatOr(ctx, c, head, func() (ChangeResponse, error) { return h.unchanged(ctx, c, head.Version) })
 	}
 	version, err := h.config.Store.CommitConfig(ctx, configstore.ConfigCommit{
 		ID:          c.CommitID,
@@ -110,15 +105,23 @@
 	return response, nil
 }
 
+// result is the outcome of a change.
+type result func() (ChangeResponse, error)
+
+// refuse returns the result of a change that fails.
+func refuse(err error) result {
+	return func() (ChangeResponse, error) { return ChangeResponse{}, err }
+}
+
 // repeatOr returns the result of an earlier request with this commit id, or the
 // given result if there was none.
-func (h *handler) repeatOr(ctx context.Context, c change, head *configstore.ConfigState, response ChangeResponse, otherwise error) (ChangeResponse, error) {
+func (h *handler) repeatOr(ctx context.Context, c change, head *configstore.ConfigState, otherwise result) (ChangeResponse, error) {
 	found, err := h.findCommit(ctx, c.CommitID, head)
 	if err != nil {
 		return ChangeResponse{}, err
 	}
 	if found == nil {
-		return response, otherwise
+		return otherwise()
 	}
 	if !c.wasMade(found) {
 		return ChangeResponse{}, commitIDReused("version %d, which is another change", found.entry.Version)
@@ -135,7 +138,7 @@
 	if err != nil {
 		return ChangeResponse{}, err
 	}
-	return h.repeatOr(ctx, c, head, ChangeResponse{}, refusal)
+	return h.repeatOr(ctx, c, head, refuse(refusal))
 }
 
 // canonicalDelta builds a delta, checks its result and returns it in canonical form.
--- a/admin/decode.go
+++ b/admin/decode.go
@@ -31,15 +31,16 @@
 	if mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || mediaType != "application/json" {
 		return newProblem(http.StatusUnsupportedMediaType, CodeUnsupportedMedia, "the body must have Content-Type application/json")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), r.Body, limit))
-	if err != nil {
+	// The announced length avoids growing the buffer step by step.
+	body := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 0), limit)+bytes.MinRead))
+	if _, err := body.ReadFrom(http.MaxBytesReader(ctx.ResponseWriter(), r.Body, limit)); err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return newProblem(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body must have at most %d bytes", limit)
 		}
 		return badRequest("the body could not be read to its end")
 	}
-	return decodeStrict(body, into)
+	return decodeStrict(body.Bytes(), into)
 }
 
 func decodeStrict(body []byte, into any) error {
