--- a/node/home_claims.go
+++ b/node/home_claims.go
@@ -17,6 +17,8 @@
 
 	mu    sync.Mutex
 	store *idempotency.Store
+	// sealed is set once the claims were exported to the next homes.
+	sealed bool
 }
 
 func newClaims(h *homes) *claims {
@@ -62,6 +64,9 @@
 func (c *claims) answerDone(m *wire.ClaimDone) *wire.Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.sealed {
+		return &wire.Answer{Error: "the claims were handed over to the next home"}
+	}
 	v := wire.VerdictFrom(m.GetVerdict())
 	if v == verdict.NotRun {
 		c.store.Release(m.GetTeam(), m.GetKey(), m.GetRequestId())
@@ -80,6 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.sealed = true
 	held := c.store.Export(now)
 	if h.table == nil || !h.node.fresh(now) {
 		return nil, nil
