Keep the attester set settled once a quorum attested it

AttestersSettled asked for a quorum at the moment of the commit. A lost attester that costs the quorum (one of three, for instance) could then never be removed. It is enough that a quorum attested the last change of the set at some time, so the answer now stays true until the set changes.

--- a/freshness/sim_test.go
+++ b/freshness/sim_test.go
@@ -258,6 +258,7 @@
 // check asserts the invariant of the package for all peers.
 func (s *sim) check() error {
 	for _, p := range s.peers {
+		p.st.AttestersSettled(s.local(p))
 		v := p.st.QuorumVersions(s.local(p))
 		for i, version := range []uint64{v.Config, v.Members} {
 			if n := len(s.accepted[i]); n == 0 || s.accepted[i][n-1].version < version {
--- a/freshness/state.go
+++ b/freshness/state.go
@@ -19,7 +19,8 @@
 	held        Versions
 	highest     Versions
 	attesters   []string
-	setVersion  uint64
+	setVersion  uint64 // members version that made the attester set
+	settled     uint64 // highest members version ever attested by a quorum
 	vector      map[string]stamp
 	table       stamp // newest table read heard of or made
 	tableSource string
@@ -227,10 +228,14 @@
 	return Versions{Config: config[len(config)-q], Members: members[len(members)-q]}
 }
 
-// AttestersSettled reports whether the last change of the attester set is
-// attested by a quorum. Only then may a member change that alters the attester
-// set be committed; other member changes need not wait. Without this rule two
-// successive replacements yield sets whose quorums do not intersect.
+// AttestersSettled reports whether the last change of the attester set has
+// been attested by a quorum at some time up to now. Only then may a member
+// change that alters the attester set be committed; other member changes need
+// not wait. Without this rule two successive replacements yield sets whose
+// quorums do not intersect. The answer stays true while the set stays the
+// same, so that an attester can be removed when its loss cost the quorum. It
+// has to be asked regularly, because it is derived from what is attested now.
 func (s *State) AttestersSettled(now time.Time) bool {
-	return s.QuorumVersions(now).Members >= s.setVersion
+	s.settled = max(s.settled, s.QuorumVersions(now).Members)
+	return s.settled >= s.setVersion
 }
--- a/freshness/state_test.go
+++ b/freshness/state_test.go
@@ -146,6 +146,7 @@
 	require.False(t, s.AttestersSettled(start))
 	s.Merge(heard(2, 7, Versions{Config: 1, Members: 9}, 0), 0, start.Add(time.Second))
 	require.True(t, s.AttestersSettled(start.Add(time.Second)))
+	require.True(t, s.AttestersSettled(start.Add(time.Hour)), "the removal of a lost attester must stay possible")
 }
 
 func BenchmarkMergeAndFresh(b *testing.B) {
