Answer may-have-run when the home of an idempotency key is out of reach

Only the home knows whether an earlier request with the key has run, so a refusal without its answer must not claim not-run. The entry now asks again for up to 2.5 s, because a home that stops hands its claims over.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -175,13 +175,13 @@
 		start := time.Now()
 		last := time.Duration(0)
 		for range 100 {
-			before := f.dispatchedInZone("zone-b")
+			before := f.dispatchedInZoneB()
 			for i := range 9 {
 				r, err := f.order(i, newKey())
 				require.NoError(t, err)
 				require.Equal(t, http.StatusOK, r.status, r.body)
 			}
-			if f.dispatchedInZone("zone-b") != before {
+			if f.dispatchedInZoneB() != before {
 				last = time.Since(start)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -192,21 +192,21 @@
 			next.Zones = map[string]rules.Zone{}
 			return &next
 		})
-		before := f.dispatchedInZone("zone-b")
+		before := f.dispatchedInZoneB()
 		for i := range 300 {
 			r, err := f.order(i%9, newKey())
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, r.status, r.body)
 			time.Sleep(20 * time.Millisecond)
 		}
-		require.Greater(t, f.dispatchedInZone("zone-b"), before)
+		require.Greater(t, f.dispatchedInZoneB(), before)
 	})
 }
 
-func (f *fleet) dispatchedInZone(zone string) int64 {
+func (f *fleet) dispatchedInZoneB() int64 {
 	total := int64(0)
 	for _, n := range f.running() {
-		if n.settings.Node.Zone == zone {
+		if n.settings.Node.Zone == "zone-b" {
 			total += n.metrics.dispatched.Count()
 		}
 	}
--- /dev/null
+++ b/node/history_test.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/platform/memory"
+	"trefoildock.example/rules"
+	standinanswer "trefoildock.example/standin/answer"
+	standin "trefoildock.example/standin/backend"
+	"trefoildock.example/verdict"
+)
+
+const (
+	// historyNodes is the number of nodes of a randomised run.
+	historyNodes = 9
+	// historyLength is the virtual time of a randomised run with faults.
+	historyLength = 90 * time.Second
+	// smallRate and smallBurst are the promise to the team "homes" in clusterRules.
+	smallRate, smallBurst = 2.0, 3
+)
+
+// history is a randomised run: traffic against a fleet while faults come and go.
+type history struct {
+	*fleet
+	rng   *rand.Rand
+	ended chan struct{}
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	problems []string
+	admitted []interval // answered requests of the small team
+	outcomes map[string]int
+}
+
+// interval is the time between sending a request and its answer.
+type interval struct{ sent, answered time.Time }
+
+// Guards against a broken promise when faults come singly and in pairs: orders
+// that run twice, refusals that are not true, answers to another request, teams
+// above their rate, and keys that work after their withdrawal.
+func TestRandomHistories(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			runFleet(t, historyNodes, func(f *fleet) {
+				h := &history{fleet: f, rng: rand.New(rand.NewPCG(seed, 1)), ended: make(chan struct{}), outcomes: make(map[string]int)}
+				h.run()
+				require.Empty(t, h.problems)
+				t.Log(h.outcomes)
+			})
+		})
+	}
+}
+
+func (h *history) run() {
+	for w := range 4 {
+		h.wg.Go(func() { h.sendOrders(rand.New(rand.NewPCG(uint64(w), h.rng.Uint64()))) })
+	}
+	h.wg.Go(func() { h.sendSmallTeam(rand.New(rand.NewPCG(9, h.rng.Uint64()))) })
+	for start := time.Now(); time.Since(start) < historyLength; {
+		undo := []func(){h.fault()}
+		if h.rng.IntN(2) == 0 {
+			time.Sleep(h.between(100*time.Millisecond, 2*time.Second))
+			undo = append(undo, h.fault())
+		}
+		time.Sleep(h.between(time.Second, 8*time.Second))
+		for _, f := range undo {
+			f()
+		}
+		time.Sleep(h.between(100*time.Millisecond, 6*time.Second))
+	}
+	close(h.ended)
+	h.wg.Wait()
+	h.checkSmallTeam()
+}
+
+func (h *history) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(h.rng.Int64N(int64(high-low)))
+}
+
+// fault injects one fault and returns the function that ends it.
+func (h *history) fault() func() {
+	i := h.rng.IntN(historyNodes)
+	a, b := h.rng.IntN(3), h.rng.IntN(3)
+	switch h.rng.IntN(9) {
+	case 0:
+		return h.crash(i)
+	case 1:
+		h.cutZones(historyNodes, a, b, a != b)
+		return func() { h.cutZones(historyNodes, a, b, false) }
+	case 2:
+		h.isolate(historyNodes, i, true)
+		return func() { h.isolate(historyNodes, i, false) }
+	case 3:
+		return h.platformFault(memory.Faults{Down: true})
+	case 4:
+		return h.platformFault(memory.Faults{LoseAnswers: true})
+	case 5:
+		return h.platformFault(memory.Faults{Delay: 400 * time.Millisecond})
+	case 6:
+		return h.backendFault(i, standin.Faults{CutShare: 0.3, CrossedShare: 0.3})
+	case 7:
+		return h.backendFault(i, standin.Faults{HangShare: 0.5, ErrorShare: 0.2})
+	default:
+		return h.zoneOut(zones[a])
+	}
+}
+
+// crash kills node i with its backend server; a new VM takes its place later.
+func (h *history) crash(i int) func() {
+	if h.node(nodeName(i)) == nil {
+		return func() {}
+	}
+	h.kill(i)
+	return func() { h.start(i) }
+}
+
+func (h *history) platformFault(f memory.Faults) func() {
+	h.platform.SetFaults(f)
+	return func() { h.platform.SetFaults(memory.Faults{}) }
+}
+
+func (h *history) backendFault(i int, f standin.Faults) func() {
+	h.fleet.mu.Lock()
+	b := h.backends[nodeName(i)]
+	h.fleet.mu.Unlock()
+	if b == nil {
+		return func() {}
+	}
+	require.NoError(h.t, b.server.SetFaults(f))
+	return func() { _ = b.server.SetFaults(standin.Faults{}) }
+}
+
+// zoneOut takes an availability zone out of service if the platform is up.
+func (h *history) zoneOut(zone string) func() {
+	h.edit(func(c *rules.Config) { c.Zones[zone] = rules.Zone{Name: zone, Out: true, Comment: "test: maintenance"} })
+	return func() { h.edit(func(c *rules.Config) { delete(c.Zones, zone) }) }
+}
+
+// edit commits a change of the zones; a failure of the platform is allowed.
+func (h *history) edit(change func(*rules.Config)) {
+	current, err := h.store.LoadConfig(h.t.Context())
+	if err != nil {
+		return
+	}
+	next := *current.Config
+	next.Zones = make(map[string]rules.Zone)
+	for k, v := range current.Config.Zones {
+		next.Zones[k] = v
+	}
+	change(&next)
+	_, _ = h.store.CommitConfig(h.t.Context(), configstore.ConfigCommit{
+		ID: uuid.NewString(), ReadVersion: current.Version, Delta: rules.Diff(current.Config, &next),
+		Operator: "tester", Requester: "test: maintenance",
+	})
+}
+
+func (h *history) goesOn() bool {
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (h *history) problem(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.problems = append(h.problems, time.Now().Format("04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func (h *history) count(outcome string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outcomes[outcome]++
+}
+
+// sendOrders places orders one after the other and resends each until its fate
+// is known or it was sent four times.
+func (h *history) sendOrders(rng *rand.Rand) {
+	for h.goesOn() {
+		key := newKey()
+		completed := false
+		for attempt := 0; attempt < 4 && !completed; attempt++ {
+			completed = h.sendOrder(rng, key)
+			time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+		}
+		if n := h.executed(key); n > 1 || completed && n != 1 {
+			h.problem("order %s ran %d times, completed: %v", key, n, completed)
+		}
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	}
+}
+
+// sendOrder sends an order once through a random entry that runs.
+func (h *history) sendOrder(rng *rand.Rand, key string) (completed bool) {
+	i := rng.IntN(historyNodes)
+	if h.node(nodeName(i)) == nil {
+		return false
+	}
+	r, err := h.order(i, key)
+	if err != nil {
+		h.count("connection lost")
+		return false
+	}
+	v := r.header.Get(verdict.Header)
+	h.count(fmt.Sprintf("%d %s", r.status, v))
+	if v == verdict.NotRun.String() && h.executed(key) > 0 {
+		h.problem("order %s was answered not-run (%d %s) but has run", key, r.status, r.body)
+	}
+	if r.status == http.StatusOK {
+		h.checkAnswer(r, key)
+	}
+	return r.status == http.StatusOK
+}
+
+func (h *history) checkAnswer(r reply, key string) {
+	if r.header.Get(verdict.Header) != verdict.Completed.String() {
+		h.problem("answer to order %s without the completed verdict", key)
+	}
+	if !strings.Contains(r.body, standinanswer.BodyDigest([]byte(orderBody(key)))) {
+		h.problem("answer to order %s belongs to another request: %s", key, r.body)
+	}
+}
+
+// sendSmallTeam sends far more than the rate of the small team.
+func (h *history) sendSmallTeam(rng *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for h.goesOn() {
+		i := rng.IntN(historyNodes)
+		if h.node(nodeName(i)) != nil {
+			wg.Go(func() { h.sendSmall(i) })
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (h *history) sendSmall(i int) {
+	sent := time.Now()
+	r, err := h.send(i, http.MethodGet, "/orders/1", "", "Authorization", "Bearer "+h.keys["homes"])
+	if err != nil || r.status == http.StatusTooManyRequests || r.header.Get(verdict.Header) == verdict.NotRun.String() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.admitted = append(h.admitted, interval{sent, time.Now()})
+}
+
+// checkSmallTeam compares every window of time with rate times length plus
+// burst. Only requests that lie wholly inside a window count for certain.
+func (h *history) checkSmallTeam() {
+	for _, first := range h.admitted {
+		for _, last := range h.admitted {
+			length := last.answered.Sub(first.sent)
+			if length <= 0 {
+				continue
+			}
+			inside := 0
+			for _, a := range h.admitted {
+				if !a.sent.Before(first.sent) && !a.answered.After(last.answered) {
+					inside++
+				}
+			}
+			if float64(inside) > smallRate*length.Seconds()+smallBurst+1e-9 {
+				h.problem("small team: %d requests in %v", inside, length)
+				return
+			}
+		}
+	}
+	h.count("small team admitted")
+	h.outcomes["small team admitted"] = len(h.admitted)
+}
--- a/node/perform.go
+++ b/node/perform.go
@@ -14,6 +14,11 @@
 const (
 	// claimTimeout bounds one question to the home of an idempotency key.
 	claimTimeout = time.Second
+	// claimPatience is the time for which a request waits for a home, at most
+	// half of its deadline. A handover between homes takes less than 2 s.
+	claimPatience = 2500 * time.Millisecond
+	// claimInterval is the time between two questions.
+	claimInterval = 100 * time.Millisecond
 	// doneAttempts is how often the result of a claimed request is reported.
 	doneAttempts = 3
 	// maxStoredBytes is the largest answer that a home stores.
@@ -87,8 +92,39 @@
 }
 
 // claim asks the home of the idempotency key whether the request may run. It
-// returns a stored answer, or an error, or neither if the request may run.
+// returns a stored answer, or an error, or neither if the request may run. It
+// asks again for a while, because a home that stops hands its claims over.
 func (n *Node) claim(ctx context.Context, r *request) (*answer, error) {
+	until := time.Now().Add(claimPatience)
+	if deadline, ok := ctx.Deadline(); ok {
+		until = earlier(until, time.Now().Add(time.Until(deadline)/2))
+	}
+	for {
+		c, err := n.askClaim(ctx, r)
+		if err == nil && idempotency.Outcome(c.GetOutcome()) != idempotency.NotHome {
+			return n.claimed(r, c)
+		}
+		if time.Now().After(until) || !wait(ctx, claimInterval) {
+			break
+		}
+	}
+	n.metrics.claimRefused.Inc(1)
+	n.releaseClaim(r) // The claim may have been recorded although its answer was lost.
+	// Only the home knows whether an earlier request with this key has run.
+	return nil, &verdict.Error{
+		Verdict: verdict.MayHaveRun, Status: 502, Code: "claim-unavailable", RetryAfter: time.Second,
+		Detail: "the home of the Idempotency-Key cannot be reached; send the request again with the same key",
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (n *Node) askClaim(ctx context.Context, r *request) (*wire.ClaimAnswer, error) {
 	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
@@ -96,12 +132,13 @@
 		Team: r.team, Key: r.idempotencyKey, Fingerprint: r.fingerprint, RequestId: r.id,
 		TimeoutUs: time.Until(deadline).Microseconds(),
 	}}})
-	if err != nil || a.GetClaim() == nil {
-		n.metrics.claimRefused.Inc(1)
-		n.releaseClaim(r) // The claim may have been recorded although its answer was lost.
-		return nil, verdict.Refuse("claim-unavailable", "the home of the idempotency key cannot be reached", time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if a.GetClaim() == nil {
+		return nil, errBadCall
 	}
-	return n.claimed(r, a.GetClaim())
+	return a.GetClaim(), nil
 }
 
 // claimed turns the home's decision into an answer or an error.
@@ -117,11 +154,11 @@
 		return nil, &verdict.Error{Verdict: verdict.NotRun, Status: 422, Code: "idempotency-mismatch", Detail: "the Idempotency-Key was used for another request"}
 	case idempotency.Rejected:
 		return nil, badRequest("idempotency-key", c.GetDetail())
-	case idempotency.MayHaveRun:
-		return nil, verdict.Lost("idempotency-unknown", c.GetDetail(), nil)
-	default:
+	case idempotency.Full:
 		n.metrics.claimRefused.Inc(1)
-		return nil, verdict.Refuse("claim-refused", "the home of the idempotency key takes no new claims: "+c.GetDetail(), time.Second)
+		return nil, verdict.Refuse("claims-full", c.GetDetail(), time.Second)
+	default:
+		return nil, verdict.Lost("idempotency-unknown", c.GetDetail(), nil)
 	}
 }
 
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -316,9 +316,11 @@
 
 // order sends an order with an idempotency key.
 func (f *fleet) order(i int, key string) (reply, error) {
-	return f.send(i, http.MethodPost, "/orders", `{"order":"`+key+`"}`, "Authorization", "Bearer "+f.keys["walkers"], "Idempotency-Key", key)
+	return f.send(i, http.MethodPost, "/orders", orderBody(key), "Authorization", "Bearer "+f.keys["walkers"], "Idempotency-Key", key)
 }
 
+func orderBody(key string) string { return `{"order":"` + key + `"}` }
+
 // newKey returns a UUIDv7 with the time of the virtual clock. uuid.NewV7 keeps
 // the latest time that it saw in the process, which may be that of the real clock.
 func newKey() string {
