--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -12,8 +12,9 @@
 	Allowed
 	// Wait means to call Retry after Decision.Wait.
 	Wait
-	// TakeAtHome means to ask the team's home for a token. If it has none or
-	// cannot be reached, call TakeRefused and then Retry.
+	// TakeAtHome means to ask the team's home for a token, and its deputy if the
+	// home has none or cannot be reached. If neither grants one, call
+	// TakeRefused and then Retry.
 	TakeAtHome
 )
 
@@ -43,9 +44,12 @@
 type holding struct {
 	bucket bucket
 	// limit of the last request.
-	limit  Limit
-	share  uint32
-	wanted uint32
+	limit Limit
+	share uint32
+	// standby is the part of share that a deputy keeps for others.
+	standby uint32
+	deputy  bool
+	wanted  uint32
 	// asked is the wanted share of the last report.
 	asked uint32
 	// sequence of the last report that lists the team; 0 once it was answered.
@@ -70,14 +74,19 @@
 // Allow decides a new request of a team. The caller must be fresh.
 func (h *Holder) Allow(now time.Time, team string, l Limit) Decision {
 	at := h.clock.advance(now)
+	t := h.holding(team, at)
+	t.requests++
+	t.usedAt = at
+	return t.decide(at, l)
+}
+
+func (h *Holder) holding(team string, at time.Duration) *holding {
 	t := h.teams[team]
 	if t == nil {
 		t = &holding{bucket: bucket{at: at}}
 		h.teams[team] = t
 	}
-	t.requests++
-	t.usedAt = at
-	return t.decide(at, l)
+	return t
 }
 
 // Retry decides a request again after a wait or after TakeRefused. The request
@@ -91,7 +100,40 @@
 	return t.decide(h.clock.advance(now), l)
 }
 
-// TakeRefused notes that the home had no token. Until retryAfter has passed no
+// SetDeputy says whether this node is the deputy of the team's home, the second
+// node in the rank of the team's partition. A deputy asks for a standby share
+// and keeps it while it becomes the home itself, until its ledger has recovered.
+func (h *Holder) SetDeputy(now time.Time, team string, l Limit, deputy bool) {
+	at := h.clock.advance(now)
+	if t := h.teams[team]; !deputy && t == nil {
+		return
+	}
+	t := h.holding(team, at)
+	t.bucket.refill(at, t.limit, t.share)
+	t.limit, t.deputy = l, deputy
+	t.bucket.clamp(l, t.share)
+}
+
+// Take spends n tokens of the deputy's share for another entry, or returns the
+// time until they are expected, at most MaxWait. The caller must be fresh.
+func (h *Holder) Take(now time.Time, team string, n uint32, l Limit) (granted bool, retryAfter time.Duration) {
+	at := h.clock.advance(now)
+	t := h.teams[team]
+	if t == nil || t.share == 0 {
+		return false, MaxWait
+	}
+	t.bucket.refill(at, t.limit, t.share)
+	t.limit = l
+	t.bucket.clamp(l, t.share)
+	if t.bucket.take(n) {
+		// Counted as demand of the deputy, so that its share grows with it.
+		t.requests += n
+		return true, 0
+	}
+	return false, min(t.bucket.wait(l, t.share, n), MaxWait)
+}
+
+// TakeRefused notes that neither the home nor its deputy had a token. Until retryAfter has passed no
 // request of the team is sent to the home, which keeps a team far above its
 // rate from loading the home with every request.
 func (h *Holder) TakeRefused(now time.Time, team string, retryAfter time.Duration) {
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -66,12 +66,19 @@
 	outstanding uint64
 	// wanted is the sum of the wanted shares in ppm.
 	wanted uint64
+	// deputy is the holder of the standby share; empty if there is none.
+	deputy string
+	// takes is the estimated rate of tokens taken singly, per second.
+	takes   float64
+	takesAt time.Duration
 }
 
 // claim is the most that a holder may hold, and what it wants.
 type claim struct {
 	share  uint32
 	wanted uint32
+	// standby is the part of share that serves other entries.
+	standby uint32
 }
 
 // NewLedger returns a ledger without partitions. partitionOf maps a team to its
@@ -176,6 +183,7 @@
 	}
 	a.refill(at, limit)
 	if a.bucket.take(n) {
+		a.countTakes(at, n)
 		return true, 0, true
 	}
 	return false, min(a.bucket.wait(limit, a.free, n), MaxWait), true
@@ -185,6 +193,14 @@
 // It is 0 unless a message was forged or the code is wrong.
 func (l *Ledger) Violations() uint64 { return l.violations }
 
+// Recovered says whether this node is the home of a team and has learned all
+// shares. Until then its own Holder acts as deputy, if it was one, and answers
+// Take in place of the ledger.
+func (l *Ledger) Recovered(team string) bool {
+	p := l.partitions[l.partitionOf(team)]
+	return p != nil && p.recovery.done
+}
+
 // Free returns the free fraction of a team in ppm.
 func (l *Ledger) Free(team string) uint32 {
 	p := l.partitions[l.partitionOf(team)]
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -21,7 +21,14 @@
 	// minReserve is the part of a team's promise that the home does not grant.
 	// It serves entries without a share and absorbs demand that moves faster
 	// than shares do.
-	minReserve = 150_000
+	minReserve = 180_000
+	// maxTakeReserve bounds the part that is kept because entries take single
+	// tokens, so that callers above the rate cannot displace all shares.
+	maxTakeReserve = 500_000
+	// standbyPart is the deputy's part of the reserve, or of the whole free
+	// fraction if nobody wants shares. The deputy answers Take while the home is
+	// lost; the home keeps the rest.
+	standbyPart = 650_000
 	// reserveTokens is the least burst kept at the home, in tokens. A bucket
 	// below one token never allows a request.
 	reserveTokens = 2
@@ -47,8 +54,8 @@
 	return ceilDiv(tokenUnit, l.Burst)
 }
 
-// Reserve returns the share in ppm that the home never grants. A team with a
-// burst of two tokens or less is served by its home alone.
+// Reserve returns the least share in ppm that the home keeps for itself and its
+// deputy. A team with a burst of two tokens or less is served by its home alone.
 func (l Limit) Reserve() uint32 {
 	if l.Burst == 0 {
 		return Whole
--- a/ratelimit/message.go
+++ b/ratelimit/message.go
@@ -25,6 +25,10 @@
 	Share uint32
 	// Wanted is the share in ppm that the holder's demand asks for.
 	Wanted uint32
+	// Standby is the part of Share in ppm that a deputy keeps for others.
+	Standby uint32
+	// Deputy is true if the holder is the deputy of the team's home.
+	Deputy bool
 }
 
 // Answer is the home's reply to a Report.
@@ -43,4 +47,6 @@
 	Sequence uint64
 	// Share in ppm that replaces the reported one.
 	Share uint32
+	// Standby is the part of Share in ppm that a deputy keeps for others.
+	Standby uint32
 }
--- a/ratelimit/report.go
+++ b/ratelimit/report.go
@@ -10,20 +10,20 @@
 const (
 	// askAbove is the demand in requests per second from which a holder asks
 	// for a share. Below it single tokens cost fewer messages.
-	askAbove = 1.0
+	askAbove = 2.0
 	// returnBelow is the demand in requests per second under which a holder
 	// returns its share. The gap to askAbove avoids frequent changes.
 	returnBelow = 0.5
 	// slowWindow and fastWindow are the time constants of the two demand
 	// estimates. The slow one keeps shares stable, because every change of a
 	// share drops tokens.
-	slowWindow = 10 * time.Second
+	slowWindow = 5 * time.Second
 	fastWindow = time.Second
 	// stepDeviations is the distance between the estimates, in standard
 	// deviations of random arrivals, that counts as a change of demand.
-	stepDeviations = 4.0
+	stepDeviations = 3.0
 	// deadBand is the relative change of a wanted share that is ignored.
-	deadBand = 0.15
+	deadBand = 0.05
 	// headroom is the factor between demand and wanted share. It covers the
 	// spread of random arrivals between two reports.
 	headroom = 1.25
@@ -61,17 +61,22 @@
 		if !isHome(team) {
 			continue
 		}
-		if t.share > 2*t.wanted {
-			t.setShare(at, t.wanted)
+		if !t.deputy {
+			t.standby = 0
 		}
-		if t.share == 0 && t.wanted == 0 && t.sequence == 0 {
+		if t.share > 2*t.wanted+t.standby {
+			t.setShare(at, t.wanted+t.standby)
+		}
+		if t.share == 0 && t.wanted == 0 && t.sequence == 0 && !t.deputy {
 			if at-t.usedAt > idleTime {
 				delete(h.teams, team)
 			}
 			continue
 		}
 		t.sequence, t.asked = h.sequence, t.wanted
-		r.Shares = append(r.Shares, ShareState{Team: team, Sequence: h.sequence, Share: t.share, Wanted: t.wanted})
+		r.Shares = append(r.Shares, ShareState{
+			Team: team, Sequence: h.sequence, Share: t.share, Wanted: t.wanted, Standby: min(t.standby, t.share), Deputy: t.deputy,
+		})
 	}
 	slices.SortFunc(r.Shares, func(a, b ShareState) int { return strings.Compare(a.Team, b.Team) })
 	return r
@@ -86,10 +91,10 @@
 	}
 	for _, n := range a.Shares {
 		t := h.teams[n.Team]
-		if t == nil || n.Sequence == 0 || n.Sequence != t.sequence || n.Share > Whole {
+		if t == nil || n.Sequence == 0 || n.Sequence != t.sequence || n.Share > Whole || n.Standby > n.Share {
 			continue
 		}
-		t.sequence = 0
+		t.sequence, t.standby = 0, n.Standby
 		t.setShare(at, n.Share)
 	}
 }
@@ -131,6 +136,6 @@
 // reported without waiting for ReportInterval. A wish that the home knows
 // already is not urgent, so that a team above its rate causes no more reports.
 func (t *holding) urgent() bool {
-	known := max(t.share, t.asked)
-	return t.share > 2*t.wanted || t.wanted > known+known/2
+	known := max(t.share-min(t.share, t.standby), t.asked)
+	return t.share > 2*t.wanted+t.standby || t.wanted > known+known/2
 }
