--- /dev/null
+++ b/detection/curve.go
@@ -0,0 +1,88 @@
+package detection
+
+import (
+	"slices"
+	"time"
+)
+
+// hoursPer is the unit of false ejections in backend-server hours.
+const hoursPer = 10_000
+
+// detectionLimit is the time after which an experiment counts as not detected.
+const detectionLimit = time.Minute
+
+// DetectionTimes returns the sorted detection times of a fault over a number of
+// runs. A run in which it is not found within a minute counts as a minute.
+func (x Experiment) DetectionTimes(fault Fault, runs int) []time.Duration {
+	out := make([]time.Duration, 0, runs)
+	for run := range runs {
+		s := newSimulation(x, uint64(run))
+		s.fault = fault
+		// The fault begins at a random phase of the report interval.
+		s.faultAt = warmUp + time.Duration(s.rng.Int64N(int64(ReportInterval)))
+		s.servers[0].faulty = true
+		found := time.Duration(0)
+		s.bad = func(now time.Duration, server string) {
+			if server == s.servers[0].name && now >= s.faultAt && found == 0 {
+				found = now - s.faultAt
+			}
+		}
+		s.run(s.faultAt+detectionLimit, func() bool { return found > 0 })
+		if found == 0 {
+			found = detectionLimit
+		}
+		out = append(out, found)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// FalseEjections returns how many healthy backend servers are judged bad during
+// the given number of backend-server hours, after a warm-up.
+func (x Experiment) FalseEjections(noise Noise, hours float64) int {
+	s := newSimulation(x, 1<<32)
+	s.noise = noise
+	count := 0
+	s.bad = func(now time.Duration, _ string) {
+		if now >= warmUp {
+			count++
+		}
+	}
+	s.run(warmUp+time.Duration(hours/float64(x.Siblings)*float64(time.Hour)), func() bool { return false })
+	return count
+}
+
+// Quantile returns the q-quantile of sorted durations by the nearest rank.
+func Quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// CurvePoint relates detection time and false ejections at one threshold.
+type CurvePoint struct {
+	Threshold float64
+	// P50 and P99 are detection times.
+	P50, P99 time.Duration
+	// False is the number of false ejections per 10,000 backend-server hours.
+	False float64
+}
+
+// Curve measures detection time of a fault against false ejections under noise
+// for each threshold.
+func (x Experiment) Curve(thresholds []float64, fault Fault, noise Noise, runs int, hours float64) []CurvePoint {
+	out := make([]CurvePoint, len(thresholds))
+	for i, h := range thresholds {
+		y := x
+		y.Detector.Threshold, y.Detector.Suspect = h, 0
+		times := y.DetectionTimes(fault, runs)
+		out[i] = CurvePoint{
+			Threshold: h,
+			P50:       Quantile(times, 0.5),
+			P99:       Quantile(times, 0.99),
+			False:     float64(y.FalseEjections(noise, hours)) * hoursPer / hours,
+		}
+	}
+	return out
+}
