--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -48,7 +48,7 @@
 	fingerprint uint64
 	request     uint64
 	claimed     time.Duration // since Store.base
-	response    uint64 // number of the stored response, 0 if there was none
+	response    uint64        // number of the stored response, 0 if there was none
 	patience    patience
 	prev, next  uint32 // neighbours by time of the claim
 	partition   uint16
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,10 @@
 	freshConnTimeout = time.Second
 	// maxResponseHeaderBytes bounds the header of a backend server's answer.
 	maxResponseHeaderBytes = 64 << 10
+	// maxStatus is the largest HTTP status that is defined (RFC 9110, 15).
+	maxStatus = 599
+	// codeWrongAnswer marks an answer that is complete but wrong.
+	codeWrongAnswer = "wrong-answer"
 )
 
 // dispatcher sends requests to one backend server.
@@ -120,15 +125,48 @@
 		req.Header.Set(verdict.TimeoutHeader, strconv.FormatFloat(max(left, 0), 'f', 3, 64))
 	}
 	req.ContentLength = o.GetContentLength()
-	if o.GetContentLength() != 0 || !o.GetIdempotent() {
+	if o.GetContentLength() != 0 {
 		req.Body = singleUseBody{body}
 	}
+	if !o.GetIdempotent() {
+		preventReplay(req)
+	}
 	return req, nil
 }
 
-// singleUseBody hides every way to read a body again. net/http repeats a
-// request with an Idempotency-Key on its own when a connection fails and the
-// body can be rewound, which would run a request twice that may run once.
+// replayHeaders are the fields by which net/http takes a request as repeatable.
+var replayHeaders = map[string]string{
+	"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key",
+}
+
+// preventReplay keeps net/http from repeating a request on its own when a used
+// connection fails. It repeats requests with certain methods or with an
+// Idempotency-Key if they have no body or one that can be read again.
+func preventReplay(req *http.Request) {
+	if req.Body == nil && usuallyWithoutBody(req.Method) {
+		req.Body = singleUseBody{strings.NewReader("")} // net/http finds it empty and sends no framing.
+	}
+	for name, alias := range replayHeaders {
+		if v, ok := req.Header[name]; ok { // Field names are not case-sensitive for the receiver.
+			delete(req.Header, name)
+			req.Header[alias] = v
+		}
+	}
+}
+
+// usuallyWithoutBody lists the methods for which net/http reads an empty body
+// before it decides on the framing.
+func usuallyWithoutBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions, "PROPFIND", "SEARCH":
+		return true
+	default:
+		return false
+	}
+}
+
+// singleUseBody hides every way to read a body again, so that net/http cannot
+// send it twice.
 type singleUseBody struct{ io.Reader }
 
 // Close does nothing; the owner of the reader closes it.
@@ -155,6 +193,9 @@
 			return verdict.Refuse("backend-"+reason, "the backend server refused the request before execution", retryAfter(resp))
 		}
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return wrongAnswer("the status " + strconv.Itoa(resp.StatusCode) + " is not a final HTTP status")
+	}
 	id := resp.Header.Get(verdict.RequestIDHeader)
 	switch {
 	case id == o.GetRequestId():
@@ -169,6 +210,9 @@
 	return nil
 }
 
+// wrongAnswer reports an answer that the backend server must not have given.
+func wrongAnswer(detail string) *verdict.Error { return verdict.Lost(codeWrongAnswer, detail, nil) }
+
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -5,8 +5,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,19 +15,39 @@
 	"trefoildock.example/verdict"
 )
 
+const (
+	// bodyGrace lets a streamed body outlive the deadline, so that the deadline is
+	// reported and not a failed read.
+	bodyGrace = time.Second
+	// unreadBodyTimeout bounds the reading of a body that is thrown away.
+	unreadBodyTimeout = time.Second
+)
+
 // entry accepts the requests of callers.
 type entry struct {
 	node    *Node
 	metrics *trafficMetrics
 }
 
+// callerRequest is a request of a caller while the entry handles it.
+type callerRequest struct {
+	w     http.ResponseWriter
+	r     *http.Request
+	id    string
+	start time.Time
+	// bodyRead is set once the body was read to its end.
+	bodyRead bool
+}
+
 // ServeHTTP admits one request, forwards it to an owner and answers the caller.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
 	e.metrics.requests.Inc(1)
-	id := newRequestID()
-	err := e.handle(w, r, id, start)
-	e.metrics.latency.UpdateSince(start)
+	c := &callerRequest{w: w, r: r, id: newRequestID(), start: time.Now(), bodyRead: r.ContentLength == 0}
+	if untrustedFraming(r) {
+		w.Header().Set("Connection", "close")
+	}
+	err := e.handle(c)
+	e.metrics.latency.UpdateSince(c.start)
 	if err == nil {
 		e.metrics.answered.Inc(1)
 		return
@@ -36,53 +56,62 @@
 		e.metrics.abortedStreams.Inc(1)
 		panic(http.ErrAbortHandler) // Resets the connection, so that a cut answer has no clean end.
 	}
-	e.fail(w, verdict.From(err), id)
+	e.fail(c, verdict.From(err))
 }
 
-func (e *entry) fail(w http.ResponseWriter, err *verdict.Error, id string) {
+func (e *entry) fail(c *callerRequest, err *verdict.Error) {
 	switch err.Verdict {
 	case verdict.NotRun:
 		e.metrics.refused.Inc(1)
 	default:
 		e.metrics.mayHaveRun.Inc(1)
 	}
-	if err.Status == http.StatusRequestEntityTooLarge || err.Status == http.StatusBadRequest {
-		w.Header().Set("Connection", "close") // The rest of the body is not read.
+	if !c.bodyRead && c.r.ProtoMajor == 1 {
+		c.abandonBody()
 	}
-	err.Write(w, id)
+	err.Write(c.w, c.id)
+}
+
+// abandonBody bounds what net/http reads of an unread body before it uses the
+// connection again. Only a short body is worth that.
+func (c *callerRequest) abandonBody() {
+	if c.r.ContentLength < 0 || c.r.ContentLength > bufferBytes {
+		c.w.Header().Set("Connection", "close")
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 }
 
 // handle returns nil once the whole answer was written, http.ErrAbortHandler
 // if it broke after its start, or a failure that the caller is told about.
-func (e *entry) handle(w http.ResponseWriter, r *http.Request, id string, start time.Time) error {
-	if err := checkRequest(r); err != nil {
+func (e *entry) handle(c *callerRequest) error {
+	if err := checkRequest(c.r); err != nil {
 		return err
 	}
 	snap := e.node.snapshot.Load()
-	route, ok := snap.router.Match(r.Method, r.Host, r.URL.Path)
+	route, ok := snap.router.Match(c.r.Method, c.r.Host, c.r.URL.Path)
 	if !ok {
 		e.metrics.noRoute.Inc(1)
 		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusNotFound, Code: "no-route", Detail: "no route matches the request"}
 	}
-	team, key, err := e.authenticate(snap, route, r)
+	cred := credentialsOf(c.r)
+	team, err := e.authenticate(snap, route, &cred)
 	if err != nil {
 		return err
 	}
-	timeout, err := requestTimeout(r, route)
+	if cred.leaks(c.r.URL.EscapedPath()) || cred.leaks(c.r.Host) {
+		return badRequest("key-in-target", "the path or the host contains the key")
+	}
+	timeout, err := requestTimeout(c.r, route)
 	if err != nil {
 		return err
 	}
-	deadline := start.Add(timeout)
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	deadline := c.start.Add(timeout)
+	ctx, cancel := context.WithDeadline(c.r.Context(), deadline)
 	defer cancel()
-	// A caller that sends or reads too slowly must not hold memory for ever.
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(deadline)
-	_ = c.SetWriteDeadline(deadline.Add(writeGrace))
 	if err := e.admit(ctx, team); err != nil {
 		return err
 	}
-	req, err := e.newRequest(w, r, id, route, team, key)
+	req, err := e.newRequest(c, deadline, route, team, &cred)
 	if err != nil {
 		return err
 	}
@@ -91,34 +120,31 @@
 		return err
 	}
 	defer a.close()
-	return respond(w, r, a, id)
+	return respond(c.w, c.r, a, c.id)
 }
 
 // authenticate returns the team of the request, or nil on an open route
-// without a key.
-func (e *entry) authenticate(snap *snapshot, route *rules.Route, r *http.Request) (*rules.Team, string, error) {
-	key, ambiguous := requestKey(r)
-	if ambiguous {
-		return nil, "", badRequest("ambiguous-key", "the request carries two different keys")
+// without a valid key.
+func (e *entry) authenticate(snap *snapshot, route *rules.Route, c *credentials) (*rules.Team, error) {
+	open := route.Access == rules.AccessOpen
+	if c.ambiguous {
+		return nil, badRequest("ambiguous-key", "the request carries two different keys")
 	}
-	if key == "" && route.Access == rules.AccessOpen {
-		return nil, "", nil
+	if c.key == "" && open {
+		return nil, nil
 	}
 	if !e.node.fresh(time.Now()) {
-		if route.Access == rules.AccessOpen {
-			return nil, key, nil // Whose key it is cannot be told, so the request runs without a team.
+		if open {
+			return nil, nil // Whose key it is cannot be told, so the request runs without a team.
 		}
 		e.metrics.notFresh.Inc(1)
-		return nil, "", verdict.Refuse("not-fresh", "this node cannot tell whether its configuration is current", time.Second)
-	}
-	if team := teamOf(snap.config, key); team != nil {
-		return team, key, nil
+		return nil, verdict.Refuse("not-fresh", "this node cannot tell whether its configuration is current", time.Second)
 	}
-	if route.Access == rules.AccessOpen {
-		return nil, key, nil // An unknown key is still stripped.
+	if team := teamOf(snap.config, c.key); team != nil || open {
+		return team, nil
 	}
 	e.metrics.unauthorized.Inc(1)
-	return nil, "", &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusUnauthorized, Code: "unauthorized", Detail: "the request carries no valid key"}
+	return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusUnauthorized, Code: "unauthorized", Detail: "the request carries no valid key"}
 }
 
 // teamOf returns the team whose key this is, or nil.
@@ -149,18 +175,21 @@
 	return nil
 }
 
-func (e *entry) newRequest(w http.ResponseWriter, r *http.Request, id string, route *rules.Route, team *rules.Team, key string) (*request, error) {
-	limited := http.MaxBytesReader(w, r.Body, int64(e.node.settings.Limits.MaxBodyBytes))
-	body, err := readBody(limited, r.ContentLength)
+func (e *entry) newRequest(c *callerRequest, deadline time.Time, route *rules.Route, team *rules.Team, cred *credentials) (*request, error) {
+	body, err := e.receiveBody(c, deadline)
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, err
 	}
+	r := c.r
 	req := &request{
-		id: id, route: route.Path, service: route.Service, method: r.Method,
-		target: forwardedTarget(r.URL, key), host: r.Host, fields: forwardedFields(r.Header, key),
+		id: c.id, route: route.Path, service: route.Service, method: r.Method,
+		target: forwardedTarget(r.URL, cred), host: r.Host, fields: forwardedFields(r.Header, cred),
 		idempotent: route.Repeat == rules.RepeatIdempotent,
 		body:       body, idempotencyKey: r.Header.Get(verdict.IdempotencyKeyHeader),
 	}
+	if cred.leaks(req.idempotencyKey) {
+		return nil, badRequest("bad-idempotency-key", "the Idempotency-Key contains the key")
+	}
 	if team != nil {
 		req.team, req.teamWeight = team.Name, uint32(team.Weight)
 	}
@@ -168,17 +197,34 @@
 	return req, nil
 }
 
-// checkRequest refuses requests that cannot be passed on unambiguously.
-func checkRequest(r *http.Request) error {
-	switch {
-	case r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "":
-		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusNotImplemented, Code: "not-supported", Detail: "CONNECT and protocol upgrades are not supported"}
-	case len(r.Header.Values(verdict.IdempotencyKeyHeader)) > 1:
-		return badRequest("ambiguous-idempotency-key", "the request carries more than one Idempotency-Key")
-	case r.URL.Host != "" && !strings.EqualFold(r.URL.Host, r.Host):
-		return badRequest("ambiguous-host", "the request target and the Host field differ")
+// receiveBody buffers the start of the body. A caller that sends too slowly must
+// not hold memory for ever, so the body has to arrive before the deadline.
+func (e *entry) receiveBody(c *callerRequest, deadline time.Time) (*requestBody, error) {
+	limit := int64(e.node.settings.Limits.MaxBodyBytes)
+	if c.r.ContentLength > limit {
+		return nil, bodyError(&http.MaxBytesError{Limit: limit})
+	}
+	control := http.NewResponseController(c.w)
+	_ = control.SetWriteDeadline(deadline.Add(writeGrace))
+	if c.r.ContentLength == 0 {
+		return readBody(nil, 0)
+	}
+	_ = control.SetReadDeadline(deadline)
+	// Without w, because the rest of the body is read by another goroutine than
+	// the one that writes the answer.
+	body, err := readBody(http.MaxBytesReader(nil, c.r.Body, limit), c.r.ContentLength)
+	if err != nil {
+		return nil, bodyError(err)
 	}
-	return nil
+	if body.rest == nil {
+		c.bodyRead = true
+		// A read deadline that passes while the answer is awaited would be taken
+		// for a caller that has left.
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
+	return body, nil
 }
 
 // requestTimeout returns the smaller of the route's timeout and the caller's.
@@ -198,12 +244,19 @@
 	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: code, Detail: detail}
 }
 
-func bodyError(err error) error {
+// bodyError describes a body that could not be read. Nothing was sent anywhere.
+func bodyError(err error) *verdict.Error {
+	e := badRequest("body-incomplete", "the body of the request could not be read")
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Detail: "the body is longer than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
-	}
-	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: "body-incomplete", Detail: "the body of the request could not be read", Cause: err}
+	switch {
+	case errors.As(err, &tooLarge):
+		e.Status, e.Code = http.StatusRequestEntityTooLarge, "body-too-large"
+		e.Detail = "the body is longer than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.Status, e.Code, e.Detail = http.StatusRequestTimeout, "body-too-slow", "the body did not arrive before the deadline"
+	}
+	e.Cause = err
+	return e
 }
 
 // respond writes the answer. A buffered answer gets its exact length; a longer
@@ -234,7 +287,7 @@
 	if a.whole {
 		return nil
 	}
-	if err := a.copyRest(flushWriter{w, http.NewResponseController(w)}); err != nil {
+	if err := a.rest.writeTo(flushWriter{w, http.NewResponseController(w)}); err != nil {
 		return http.ErrAbortHandler
 	}
 	return nil
--- a/node/execute.go
+++ b/node/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,22 +13,45 @@
 	"trefoildock.example/wire"
 )
 
+// abortGrace is the time to tell an entry of a passed deadline before the stream
+// is closed.
+const abortGrace = time.Second
+
 // execute dispatches an admitted request and streams the answer to the entry.
 // finish frees the slot once the backend server is done with the request, so
 // that the load sent with the end of the answer is current.
-func (o *owner) execute(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming, finish func(admission.Result)) (admission.Result, error) {
+func (o *owner) execute(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming, finish func(admission.Result)) (result admission.Result, err error) {
 	o.metrics.dispatched.Inc(1)
+	defer func() {
+		if err != nil && verdict.From(err).Code == codeWrongAnswer {
+			o.metrics.wrongAnswers.Inc(1)
+		}
+	}()
 	resp, err := b.dispatch.roundTrip(ctx, offer, in)
 	if err != nil {
 		return resultOf(ctx, err), err
 	}
 	defer resp.Body.Close()
+	defer closeWhenDone(ctx, x)()
 	if err := o.relay(ctx, x, resp, offer, finish); err != nil {
 		return resultOf(ctx, err), err
 	}
 	return answerResult(resp.StatusCode), nil
 }
 
+// closeWhenDone closes the exchange if the request ends early, so that a write to
+// an entry that no longer reads does not hold the slot. After a passed deadline
+// the entry is first told about it.
+func closeWhenDone(ctx context.Context, x exchange) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			time.AfterFunc(abortGrace, func() { x.Close() })
+			return
+		}
+		x.Close()
+	})
+}
+
 func answerResult(status int) admission.Result {
 	if status >= http.StatusInternalServerError {
 		return admission.Failure
@@ -41,15 +65,23 @@
 		Status: uint32(resp.StatusCode), RequestId: offer.GetRequestId(),
 		Fields: responseFields(resp.Header), ContentLength: resp.ContentLength,
 	})}
+	var digest *bodyDigest
+	if hasBody(offer.GetMethod(), resp.StatusCode) {
+		digest = newBodyDigest(resp.Header)
+	}
 	var sent int64
 	for {
 		buf := make([]byte, chunkSize(resp.ContentLength-sent)) // Not reused: an in-process exchange keeps it.
 		n, err := readChunk(resp.Body, buf, resp.ContentLength >= 0)
 		sent += int64(n)
+		digest.write(buf[:n])
 		if n > 0 {
 			pending = append(pending, chunkEnvelope(buf[:n], false))
 		}
 		if errors.Is(err, io.EOF) {
+			if !digest.matches() {
+				return wrongAnswer("the body does not match its Content-Digest")
+			}
 			finish(answerResult(resp.StatusCode))
 			end := endEnvelope(&wire.End{BodyBytes: sent, Load: o.load(offer.GetService())})
 			return send(x, append(pending, end))
--- a/node/forward.go
+++ b/node/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -25,6 +24,9 @@
 	// serveLocal handles the owner's end of an in-process exchange.
 	serveLocal func(x exchange, offer *wire.Offer)
 	metrics    *trafficMetrics
+	// hedgeAfter is the time after which an idempotent request without an answer
+	// is sent to a second owner; 0 turns hedging off.
+	hedgeAfter time.Duration
 }
 
 // attempt sends the request to one owner and reads its answer up to
@@ -40,7 +42,8 @@
 	}
 	// Closing unblocks a pending read when the deadline passes or the caller leaves.
 	stop := context.AfterFunc(ctx, func() { x.Close() })
-	a, err := f.converse(ctx, x, o, r)
+	body := &bodySender{requestBody: r.body}
+	a, err := f.converse(ctx, x, o, r, body)
 	if err != nil || a.whole {
 		stop()
 		x.Close()
@@ -48,7 +51,8 @@
 		a.rest.x = &ownedExchange{exchange: x, stop: stop}
 	}
 	if err != nil {
-		return nil, f.attemptError(ctx, err)
+		body.revoke()
+		return nil, f.attemptError(ctx, r, err)
 	}
 	return a, nil
 }
@@ -84,19 +88,19 @@
 }
 
 // converse runs the request protocol on an open exchange.
-func (f *forwarder) converse(ctx context.Context, x exchange, o *ownerRef, r *request) (*answer, error) {
+func (f *forwarder) converse(ctx context.Context, x exchange, o *ownerRef, r *request, body *bodySender) (*answer, error) {
 	deadline, _ := ctx.Deadline()
 	var first []*wire.Envelope
 	if o.node != f.self {
 		first = []*wire.Envelope{offerEnvelope(r.offer(deadline))}
 	}
-	if !r.idempotent {
+	if r.twoPhase() {
 		if err := f.reserve(x, o, r, first); err != nil {
 			return nil, err
 		}
 		first = []*wire.Envelope{commitEnvelope()}
 	}
-	if err := f.sendBody(x, r, first); err != nil {
+	if err := f.sendBody(x, body, first); err != nil {
 		return nil, err
 	}
 	return f.receive(x, o, r)
@@ -135,16 +139,16 @@
 
 // sendBody sends the body. A body that is not buffered is streamed beside the
 // answer, because a backend server may answer before it has read all of it.
-func (f *forwarder) sendBody(x exchange, r *request, first []*wire.Envelope) error {
-	if r.body.rest != nil {
+func (f *forwarder) sendBody(x exchange, body *bodySender, first []*wire.Envelope) error {
+	if body.rest != nil {
 		go func() {
-			if err := r.body.send(x, first...); err != nil {
+			if err := body.send(x, first...); err != nil {
 				x.Close()
 			}
 		}()
 		return nil
 	}
-	if err := r.body.send(x, first...); err != nil {
+	if err := body.send(x, first...); err != nil {
 		return verdict.Lost("link-lost", "the link to the owner failed while the request was sent", err)
 	}
 	return nil
@@ -170,7 +174,11 @@
 		f.metrics.crossedAnswers.Inc(1)
 		return nil, verdict.Lost("crossed-answer", "the owner answered another request", nil)
 	}
-	a := &answer{head: head, rest: &replyReader{x: x, load: update}}
+	declared := head.GetContentLength()
+	if !hasBody(r.method, int(head.GetStatus())) {
+		declared = 0
+	}
+	a := &answer{head: head, rest: &replyReader{x: x, load: update, declared: declared}}
 	return a, a.fill()
 }
 
@@ -198,8 +206,11 @@
 	return nil
 }
 
-// attemptError reports a passed deadline as such; the verdict stays.
-func (f *forwarder) attemptError(ctx context.Context, err error) error {
+// attemptError reports a passed deadline or a bad body as such; the verdict stays.
+func (f *forwarder) attemptError(ctx context.Context, r *request, err error) error {
+	if bad := r.body.failed(); bad != nil {
+		return bad
+	}
 	e := verdict.From(err)
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) || e.Verdict == verdict.NotRun {
 		return e
@@ -207,17 +218,14 @@
 	return timeoutError(e)
 }
 
-// copyRest streams the part of an answer that is not buffered.
-func (a *answer) copyRest(w io.Writer) error {
-	_, err := io.Copy(w, a.rest)
-	return err
-}
-
 // close ends the exchange of a long answer.
 func (a *answer) close() {
 	if !a.whole {
 		a.rest.x.Close()
 	}
+	if a.release != nil {
+		a.release()
+	}
 }
 
 // choose picks the owner for the next attempt by two random choices on load,
--- a/node/headers.go
+++ b/node/headers.go
@@ -10,131 +10,108 @@
 	"trefoildock.example/wire"
 )
 
-// apiKeyHeader and apiKeyParameter are the alternatives to a bearer token.
-const (
-	apiKeyHeader    = "X-Api-Key"
-	apiKeyParameter = "api_key"
-)
-
-// hopByHop lists the header fields that belong to one connection (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// hopByHop reports whether a header field belongs to one connection (RFC 9110, 7.6.1).
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings":
+		return true
+	default:
+		return false
+	}
 }
 
-// reserved lists the header fields that only a node may set towards a backend
-// server, so that a caller cannot forge them.
-var reserved = []string{
-	verdict.TeamHeader, verdict.RequestIDHeader, verdict.TimeoutHeader,
-	verdict.Header, verdict.RefusedHeader,
+// requestOnly reports whether a request field is not copied: framing, the key,
+// and fields that only a node may set, so that a caller cannot forge them.
+// Idempotency-Key has its own field in the offer.
+func requestOnly(name string) bool {
+	switch name {
+	case "Content-Length", "Expect", "Host", "Authorization", apiKeyHeader,
+		verdict.TeamHeader, verdict.RequestIDHeader, verdict.TimeoutHeader,
+		verdict.Header, verdict.RefusedHeader, verdict.IdempotencyKeyHeader, replayedHeader:
+		return true
+	default:
+		return false
+	}
 }
 
-// credentials lists the header fields that carry a team's key.
-var credentials = []string{"Authorization", apiKeyHeader}
-
-// requestKey returns the key of the caller in clear. ambiguous is set when
-// the request names two different keys.
-func requestKey(r *http.Request) (key string, ambiguous bool) {
-	var keys []string
-	for _, v := range r.Header.Values("Authorization") {
-		scheme, token, ok := strings.Cut(v, " ")
-		if ok && strings.EqualFold(scheme, "Bearer") {
-			keys = append(keys, strings.TrimSpace(token))
-		}
-	}
-	for _, v := range r.Header.Values(apiKeyHeader) {
-		keys = append(keys, strings.TrimSpace(v))
-	}
-	if strings.Contains(r.URL.RawQuery, apiKeyParameter) {
-		keys = append(keys, r.URL.Query()[apiKeyParameter]...)
-	}
-	for _, k := range keys[min(1, len(keys)):] {
-		if k != keys[0] {
-			return "", true
-		}
-	}
-	if len(keys) == 0 {
-		return "", false
+// answerOnly reports whether a field of an answer is not copied: framing and
+// fields that only a node may set towards a caller.
+func answerOnly(name string) bool {
+	switch name {
+	case "Content-Length", verdict.RequestIDHeader, verdict.Header, verdict.RefusedHeader, verdict.TeamHeader, replayedHeader:
+		return true
+	default:
+		return false
 	}
-	return keys[0], false
 }
 
 // forwardedFields returns the caller's header fields that go to the backend
 // server. It drops hop-by-hop and reserved fields, every form of the key, and
-// each field whose value contains the key under another name.
-func forwardedFields(h http.Header, key string) []*wire.Field {
-	drop := dropped(h)
-	fields := make([]*wire.Field, 0, len(h))
-	for name, values := range h {
-		if drop[textproto.CanonicalMIMEHeaderKey(name)] {
-			continue
-		}
-		for _, v := range values {
-			if key != "" && strings.Contains(v, key) {
-				continue
-			}
-			fields = append(fields, &wire.Field{Name: name, Value: v})
-		}
-	}
-	return fields
+// each field that contains the key under another name. Trailers of the request
+// are never forwarded.
+func forwardedFields(h http.Header, c *credentials) []*wire.Field {
+	return copyFields(h, requestOnly, c)
 }
 
-// responseFields returns the fields of an answer without hop-by-hop fields.
+// responseFields returns the fields of an answer that go to the caller.
+// Trailers are not forwarded: a buffered answer has a Content-Length, and
+// HTTP/1.1 has no trailers beside it.
 func responseFields(h http.Header) []*wire.Field {
+	return copyFields(h, answerOnly, &credentials{})
+}
+
+// copyFields allocates all fields at once, because it runs for every request
+// and every answer.
+func copyFields(h http.Header, drop func(name string) bool, c *credentials) []*wire.Field {
 	nominated := nominatedFields(h)
-	fields := make([]*wire.Field, 0, len(h))
+	count := 0
+	for _, values := range h {
+		count += len(values)
+	}
+	all := make([]wire.Field, count)
+	fields := make([]*wire.Field, 0, count)
 	for name, values := range h {
-		if nominated[name] || name == "Content-Length" || name == verdict.RequestIDHeader || name == verdict.Header {
+		if hopByHop(name) || drop(name) || nominated[name] || c.leaksName(name) {
 			continue
 		}
 		for _, v := range values {
-			fields = append(fields, &wire.Field{Name: name, Value: v})
+			if c.leaks(v) {
+				continue
+			}
+			f := &all[len(fields)]
+			f.Name, f.Value = name, v
+			fields = append(fields, f)
 		}
 	}
 	return fields
 }
 
-func dropped(h http.Header) map[string]bool {
-	drop := nominatedFields(h)
-	for _, list := range [][]string{reserved, credentials} {
-		for _, name := range list {
-			drop[name] = true
-		}
-	}
-	drop["Content-Length"] = true
-	drop["Expect"] = true
-	drop[verdict.IdempotencyKeyHeader] = true // Carried in its own field of the offer.
-	return drop
-}
-
-// nominatedFields returns the hop-by-hop fields including those that the
-// Connection field nominates.
+// nominatedFields returns the fields that the Connection field nominates, or nil.
 func nominatedFields(h http.Header) map[string]bool {
-	drop := make(map[string]bool, len(hopByHop)+len(reserved)+len(credentials))
-	for _, name := range hopByHop {
-		drop[name] = true
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
 	}
-	for _, v := range h["Connection"] {
+	nominated := make(map[string]bool)
+	for _, v := range values {
 		for name := range strings.SplitSeq(v, ",") {
-			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+			nominated[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	return drop
+	return nominated
 }
 
 // forwardedTarget returns path and query without the key parameter. The query
 // keeps its bytes and order otherwise.
-func forwardedTarget(u *url.URL, key string) string {
+func forwardedTarget(u *url.URL, c *credentials) string {
 	path := u.EscapedPath()
-	if path == "" {
-		path = "/"
-	}
 	if u.RawQuery == "" {
 		return path
 	}
 	kept := make([]string, 0, 4)
 	for part := range strings.SplitSeq(u.RawQuery, "&") {
-		if !carriesKey(part, key) {
+		if !carriesKey(part, c) {
 			kept = append(kept, part)
 		}
 	}
@@ -144,23 +121,28 @@
 	return path + "?" + strings.Join(kept, "&")
 }
 
-// carriesKey reports whether one query part is the key parameter or has the key
-// as its value under another name.
-func carriesKey(part, key string) bool {
-	name, value, _ := strings.Cut(part, "=")
-	if n, err := url.QueryUnescape(name); err != nil || strings.EqualFold(n, apiKeyParameter) {
-		return true
-	}
-	if key == "" {
-		return false
+// carriesKey reports whether one query part is the key parameter or contains the
+// key under another name.
+func carriesKey(part string, c *credentials) bool {
+	for sub := range strings.SplitSeq(part, ";") {
+		if name, _, _ := strings.Cut(sub, "="); isKeyParameter(name) {
+			return true
+		}
 	}
-	v, err := url.QueryUnescape(value)
-	return err != nil || strings.Contains(v, key)
+	return c.leaks(part)
 }
 
-// setFields adds wire fields to a header.
+// setFields adds wire fields to a header. Names are canonical, because net/http
+// made them so at the sender; an unusual one is made so here.
 func setFields(h http.Header, fields []*wire.Field) {
-	for _, f := range fields {
-		h.Add(f.GetName(), f.GetValue())
+	values := make([]string, len(fields))
+	for i, f := range fields {
+		name := textproto.CanonicalMIMEHeaderKey(f.GetName())
+		if old, ok := h[name]; ok {
+			h[name] = append(old, f.GetValue())
+			continue
+		}
+		values[i] = f.GetValue()
+		h[name] = values[i : i+1 : i+1]
 	}
 }
--- /dev/null
+++ b/node/hedge.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"trefoildock.example/verdict"
+)
+
+// errHedge is what the retry budget is asked for; a hedge repeats a request
+// that has not failed.
+var errHedge = &verdict.Error{Verdict: verdict.NotRun, Code: "hedge"}
+
+// attemptResult is the end of one of several parallel attempts.
+type attemptResult struct {
+	answer *answer
+	owner  *ownerRef
+	err    error
+	index  int
+}
+
+// hedged sends the request to first and, if there is no answer after hedgeAfter,
+// also to a second owner. The first answer wins; the other attempt is cancelled,
+// which closes its connection to the backend server. The returned owner is the
+// one that answered or failed last.
+func (n *Node) hedged(ctx context.Context, r *request, first *ownerRef, next func() *ownerRef) (*answer, *ownerRef, error) {
+	after := n.forwarder.hedgeAfter
+	if after <= 0 || !r.idempotent || r.body.rest != nil {
+		a, err := n.attempt(ctx, first, r)
+		return a, first, err
+	}
+	h := &hedge{node: n, ctx: ctx, request: r, results: make(chan attemptResult, 2)}
+	defer h.abandon()
+	h.launch(first)
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	var failure error
+	for {
+		select {
+		case <-timer.C:
+			h.second(next)
+		case res := <-h.results:
+			h.running--
+			cancel := h.cancels[res.index]
+			h.cancels[res.index] = nil
+			if res.err == nil {
+				res.answer.release = cancel
+				return res.answer, res.owner, nil
+			}
+			cancel()
+			if failure = weaker(failure, res.err); h.running == 0 {
+				return nil, res.owner, failure
+			}
+		}
+	}
+}
+
+// hedge is the state of parallel attempts of one request.
+type hedge struct {
+	node    *Node
+	ctx     context.Context
+	request *request
+	results chan attemptResult
+	// cancels ends the attempts by index; nil once an attempt has ended.
+	cancels []context.CancelFunc
+	running int
+}
+
+func (h *hedge) launch(o *ownerRef) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	index := len(h.cancels)
+	h.cancels = append(h.cancels, cancel)
+	h.running++
+	go func() {
+		a, err := h.node.attempt(ctx, o, h.request)
+		h.results <- attemptResult{answer: a, owner: o, err: err, index: index}
+	}()
+}
+
+func (h *hedge) second(next func() *ownerRef) {
+	if !h.node.retries.allow(h.request.service, errHedge, true, 1) {
+		return
+	}
+	if o := next(); o != nil {
+		h.node.metrics.hedges.Inc(1)
+		h.launch(o)
+	}
+}
+
+// abandon cancels the attempts that still run and closes an answer that arrives
+// in spite of that. The winner keeps its own context.
+func (h *hedge) abandon() {
+	if h.running == 0 {
+		return
+	}
+	left := h.running
+	for _, cancel := range h.cancels {
+		if cancel != nil {
+			cancel()
+		}
+	}
+	go func() {
+		for range left {
+			if res := <-h.results; res.err == nil {
+				res.answer.close()
+			}
+		}
+	}()
+}
+
+// weaker returns the error that promises less, so that NotRun is reported only
+// if no attempt may have run.
+func weaker(a, b error) error {
+	if a != nil && (b == nil || verdict.From(a).Verdict == verdict.MayHaveRun) {
+		return a
+	}
+	return b
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,6 +9,7 @@
 	retries, hedges, redirects              metrics.Counter
 	unauthorized, noRoute, notFresh         metrics.Counter
 	dispatched, cutAnswers, crossedAnswers  metrics.Counter
+	wrongAnswers                            metrics.Counter
 	abortedStreams                          metrics.Counter
 	announcementsRefused, linkErrors        metrics.Counter
 	badDeltas, pullErrors, tableErrors      metrics.Counter
@@ -25,7 +26,7 @@
 		retries: c("requests.retries"), hedges: c("requests.hedges"), redirects: c("requests.redirects"),
 		unauthorized: c("requests.unauthorized"), noRoute: c("requests.no_route"), notFresh: c("requests.not_fresh"),
 		dispatched: c("owner.dispatched"), cutAnswers: c("owner.answers.cut"),
-		crossedAnswers: c("answers.crossed"), abortedStreams: c("answers.aborted"),
+		wrongAnswers: c("owner.answers.wrong"), crossedAnswers: c("answers.crossed"), abortedStreams: c("answers.aborted"),
 		announcementsRefused: c("owner.announcements.refused"), linkErrors: c("link.errors"),
 		badDeltas: c("control.deltas.refused"), pullErrors: c("control.pulls.failed"),
 		tableErrors: c("control.table.failed"), memberConflicts: c("control.members.conflicts"),
--- /dev/null
+++ b/node/once_test.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+// Guards against net/http repeating a request that may run only once when a used
+// connection closes without an answer, and against NotRun being claimed for it.
+func TestTransportNeverRepeats(t *testing.T) {
+	for _, method := range []string{"POST", "PUT", "GET", "HEAD", "DELETE", "OPTIONS"} {
+		for _, body := range []string{"", "order"} {
+			for _, key := range []string{"", "Idempotency-Key", "X-Idempotency-Key"} {
+				t.Run(method+"/"+body+"/"+key, func(t *testing.T) { checkNoRepeat(t, method, body, key) })
+			}
+		}
+	}
+}
+
+func checkNoRepeat(t *testing.T, method, body, key string) {
+	b := newRawBackend(t, func(w io.Writer, _ *http.Request, n int64) bool {
+		if n > 1 {
+			return false // The second request on the connection gets no answer.
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	d := newDispatcher(b.address, 10)
+	defer d.close()
+	o := &wire.Offer{RequestId: "r", Method: method, Target: "/x", Host: "h", ContentLength: int64(len(body))}
+	switch key {
+	case "Idempotency-Key":
+		o.IdempotencyKey = "k"
+	case "X-Idempotency-Key":
+		o.Fields = []*wire.Field{{Name: key, Value: "k"}}
+	}
+	resp, err := d.roundTrip(t.Context(), o, strings.NewReader(body))
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	got := b.last()
+	require.EqualValues(t, len(body), max(got.ContentLength, 0))
+	require.Empty(t, got.TransferEncoding)
+	if key != "" {
+		require.Equal(t, "k", got.Header.Get(key))
+	}
+	_, err = d.roundTrip(t.Context(), o, strings.NewReader(body)) //nolint:bodyclose // An error has no answer.
+	require.Equal(t, verdict.MayHaveRun, verdict.From(err).Verdict)
+	require.EqualValues(t, 2, b.count.Load(), "net/http repeated the request")
+	require.EqualValues(t, 1, b.conns.Load(), "the used connection was not used")
+}
+
+// Guards against a request that may run only once using a connection that has
+// been idle for long and may have failed silently.
+func TestOnceUsesFreshConnections(t *testing.T) {
+	b := newRawBackend(t, ok)
+	d := newDispatcher(b.address, 10)
+	defer d.close()
+	require.Equal(t, freshConnTimeout, d.once.IdleConnTimeout)
+	d.once.IdleConnTimeout = 20 * time.Millisecond
+	for i, idempotent := range []bool{false, false, true, true} {
+		resp, err := d.roundTrip(t.Context(), &wire.Offer{RequestId: "r", Method: "POST", Target: "/x", Host: "h", Idempotent: idempotent}, nil)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		require.EqualValues(t, []int64{1, 2, 3, 3}[i], b.conns.Load())
+		time.Sleep(50 * time.Millisecond) // Longer than the idle timeout above.
+	}
+}
+
+// Guards against NotRun after the request was sent, and against MayHaveRun when
+// it certainly was not.
+func TestDispatchVerdicts(t *testing.T) {
+	ln := listen(t)
+	ln.Close()
+	hang := make(chan struct{})
+	silent := newRawBackend(t, func(io.Writer, *http.Request, int64) bool { <-hang; return false })
+	t.Cleanup(func() { close(hang) }) // Before the cleanup of the backend server, which waits for it.
+	draining := newRawBackend(t, rawAnswer("HTTP/1.1 503 Busy\r\nBackend-Refused: draining\r\nContent-Length: 0\r\n\r\n"))
+	for _, c := range []struct {
+		address, code string
+		want          verdict.Verdict
+	}{
+		{ln.Addr().String(), "backend-unreachable", verdict.NotRun},
+		{silent.address, "deadline-exceeded", verdict.MayHaveRun},
+		{draining.address, "backend-draining", verdict.NotRun},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		d := newDispatcher(c.address, 10)
+		_, err := d.roundTrip(ctx, &wire.Offer{RequestId: "r", Method: "POST", Target: "/x", Host: "h"}, nil) //nolint:bodyclose // An error has no answer.
+		cancel()
+		d.close()
+		require.Equal(t, c.code, verdict.From(err).Code)
+		require.Equal(t, c.want, verdict.From(err).Verdict)
+	}
+}
+
+// Guards against an owner that runs a two-phase request without its commit.
+func TestNothingRunsWithoutCommit(t *testing.T) {
+	b := newRawBackend(t, ok)
+	f := newFleet(t, b.address)
+	o := f.owners[0].owner
+	offer := &wire.Offer{RequestId: "r", Service: "shop", Method: "POST", Target: "/x", Host: "h", TimeoutUs: 5e6, TwoPhase: true, ContentLength: 2}
+	for name, sent := range map[string][]*wire.Envelope{
+		"lost at once":      nil,
+		"body, no commit":   {chunkEnvelope([]byte("hi"), true)},
+		"unexpected answer": {endEnvelope(&wire.End{})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry, owner := newLocalExchange()
+			done := make(chan struct{})
+			go func() { defer close(done); o.serve(owner, offer) }()
+			e, err := entry.Recv()
+			require.NoError(t, err)
+			require.NotNil(t, e.GetAdmitted())
+			require.NoError(t, sendAll(entry, sent))
+			require.NoError(t, entry.Close())
+			<-done
+			require.Zero(t, o.inFlight(), "the slot is free again")
+		})
+	}
+	require.Zero(t, b.count.Load(), "the request ran without a commit")
+}
+
+// Guards against MayHaveRun for an offer whose owner was lost before the commit,
+// and against NotRun after it.
+func TestVerdictOfLostOffer(t *testing.T) {
+	for _, commit := range []bool{false, true} {
+		f := &forwarder{self: "n", loads: newLoadTable(), metrics: newTrafficMetrics(bareNode(t, "n").registry)}
+		f.serveLocal = func(x exchange, _ *wire.Offer) {
+			if commit {
+				_ = x.Send(admittedEnvelope(&wire.Load{}))
+				_, _ = x.Recv()
+			}
+			x.Close()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err := f.attempt(ctx, &ownerRef{node: "n"}, &request{id: "r", service: "s", method: "POST", body: &requestBody{}})
+		cancel()
+		want := map[bool]verdict.Verdict{false: verdict.NotRun, true: verdict.MayHaveRun}[commit]
+		require.Equal(t, want, verdict.From(err).Verdict)
+	}
+}
+
+// Guards against work that goes on after its caller has left, in a request that
+// waits for its answer and in one that streams it, and against a slot that stays
+// taken.
+func TestCallerLeaves(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		started, gone := make(chan struct{}, 10), make(chan struct{}, 10)
+		backend := newHandlerBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(verdict.RequestIDHeader, r.Header.Get(verdict.RequestIDHeader))
+			started <- struct{}{}
+			for stream && r.Context().Err() == nil {
+				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+					break
+				}
+			}
+			<-r.Context().Done()
+			gone <- struct{}{}
+		})
+		f := newFleet(t, backend)
+		bothProtocols(t, func(t *testing.T, c *http.Client) {
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { <-started; cancel() }()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.address+"/once/x", http.NoBody)
+			require.NoError(t, err)
+			resp, err := c.Do(req)
+			if err == nil {
+				<-ctx.Done()
+				resp.Body.Close()
+			}
+			<-gone
+			eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the slot is free")
+		})
+	}
+}
+
+// Guards against a deadline that is reported as anything else, and against a
+// Request-Timeout of the caller that is not obeyed.
+func TestDeadline(t *testing.T) {
+	backend := newHandlerBackend(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	f := newFleet(t, backend)
+	bothProtocols(t, func(t *testing.T, c *http.Client) {
+		for _, path := range []string{"/brief/x", "/once/x"} {
+			r, err := f.send(c, http.MethodPost, path, strings.NewReader("order"), "Request-Timeout", "0.2")
+			require.NoError(t, err)
+			requireProblem(t, r, 504, verdict.MayHaveRun, "deadline-exceeded")
+		}
+	})
+	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the slots are free")
+}
+
+// Guards against a loser of a hedge that keeps its slot, and against a request
+// that may run only once being hedged.
+func TestHedge(t *testing.T) {
+	cancelled := make(chan struct{}, 10)
+	slow := newHandlerBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	})
+	fast := newRawBackend(t, answerWith("Content-Length: 100000\r\n", strings.Repeat("x", 100_000), true))
+	f := newFleet(t, slow, fast.address)
+	f.entry.forwarder.hedgeAfter = 10 * time.Millisecond
+	c := client(t, false)
+	hedges := f.entry.metrics.hedges
+	for hedges.Count() == 0 { // The choice of the first owner is random.
+		r, err := f.send(c, http.MethodPost, "/shop/x", strings.NewReader("body"))
+		require.NoError(t, err)
+		require.Equal(t, 200, r.status, r.body)
+		require.Len(t, r.body, 100_000)
+	}
+	<-cancelled
+	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the loser has freed its slot")
+
+	before := hedges.Count()
+	for range 4 {
+		r, err := f.send(c, http.MethodPost, "/once/x", strings.NewReader("body"), "Request-Timeout", "0.1")
+		require.NoError(t, err)
+		require.Contains(t, []int{200, 504}, r.status)
+	}
+	require.Equal(t, before, hedges.Count())
+}
--- a/node/perform.go
+++ b/node/perform.go
@@ -36,31 +36,43 @@
 	return a, err
 }
 
-// attempts sends the request to up to maxAttempts owners.
+// attempts sends the request to up to maxAttempts owners. A failure is NotRun
+// only if none of the attempts may have run.
 func (n *Node) attempts(ctx context.Context, snap *snapshot, r *request) (*answer, error) {
 	n.retries.request(r.service)
 	owners := snap.owners[r.service]
 	tried := make(map[string]bool, maxAttempts)
-	var last *verdict.Error
-	for {
+	next := func() *ownerRef {
 		o := n.forwarder.choose(owners, r.service, tried, time.Now())
+		if o != nil {
+			tried[o.node] = true
+		}
+		return o
+	}
+	var failure error
+	for {
+		o := next()
 		if o == nil {
-			return nil, noOwner(last)
+			return nil, noOwner(failure)
 		}
-		tried[o.node] = true
-		n.forwarder.loads.begin(o.node, r.service)
-		a, err := n.forwarder.attempt(ctx, o, r)
-		n.forwarder.loads.end(o.node, r.service)
+		a, o, err := n.hedged(ctx, r, o, next)
 		if err == nil {
 			return a, nil
 		}
-		last = verdict.From(err)
-		if !n.mayRetry(ctx, r, last, o, len(tried)) {
-			return nil, last
+		failure = weaker(failure, err)
+		if !n.mayRetry(ctx, r, verdict.From(err), o, len(tried)) {
+			return nil, failure
 		}
 	}
 }
 
+// attempt sends the request to one owner and counts it there.
+func (n *Node) attempt(ctx context.Context, o *ownerRef, r *request) (*answer, error) {
+	n.forwarder.loads.begin(o.node, r.service)
+	defer n.forwarder.loads.end(o.node, r.service)
+	return n.forwarder.attempt(ctx, o, r)
+}
+
 // mayRetry decides about another attempt. A refusal by an owner that takes no
 // new work is a redirect: it costs no backend server any work, so it does not
 // use the retry budget.
@@ -79,9 +91,9 @@
 	return true
 }
 
-func noOwner(last *verdict.Error) error {
-	if last != nil {
-		return last
+func noOwner(failure error) error {
+	if failure != nil {
+		return failure
 	}
 	return verdict.Refuse("no-owner", "no backend server of the service is known", time.Second)
 }
--- a/node/request.go
+++ b/node/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,11 +41,15 @@
 		RequestId: r.id, Service: r.service, Team: r.team, TeamWeight: r.teamWeight,
 		Method: r.method, Target: r.target, Host: r.host, Fields: r.fields,
 		TimeoutUs: time.Until(deadline).Microseconds(), Idempotent: r.idempotent,
-		TwoPhase: !r.idempotent, ContentLength: r.body.length,
+		TwoPhase: r.twoPhase(), ContentLength: r.body.length,
 		Fingerprint: r.fingerprint, IdempotencyKey: r.idempotencyKey,
 	}
 }
 
+// twoPhase reports whether the request is offered before it is sent. A body that
+// can be sent only once is offered as well, so that a refusal does not use it up.
+func (r *request) twoPhase() bool { return !r.idempotent || r.body.rest != nil }
+
 // requestBody is the body of a request: the buffered prefix and, if the body is
 // longer, the rest that can be read only once.
 type requestBody struct {
@@ -53,8 +58,12 @@
 	rest io.Reader
 	// length is the declared length in bytes; -1 if unknown.
 	length int64
+
+	mu sync.Mutex
 	// consumed is set once rest has been read from.
 	consumed bool
+	// failure is set when rest could not be read to its end.
+	failure *verdict.Error
 }
 
 // readBody buffers the start of a body. A read error means that the caller's
@@ -83,26 +92,77 @@
 }
 
 // replayable reports whether the body can be sent again from its start.
-func (b *requestBody) replayable() bool { return b.rest == nil || !b.consumed }
+func (b *requestBody) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rest == nil || !b.consumed
+}
+
+// failed returns why the rest of the body could not be read, or nil. The request
+// has been sent by then.
+func (b *requestBody) failed() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failure == nil {
+		return nil
+	}
+	return b.failure
+}
+
+func (b *requestBody) fail(err error) {
+	e := bodyError(err)
+	e.Verdict = verdict.MayHaveRun
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failure = e
+}
+
+// bodySender sends a body in one attempt.
+type bodySender struct {
+	*requestBody
+	revoked bool // guarded by mu
+}
+
+// revoke keeps the attempt from reading rest, which is left to a later attempt.
+func (s *bodySender) revoke() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revoked = true
+}
+
+func (s *bodySender) claimRest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.revoked || s.consumed {
+		return false
+	}
+	s.consumed = true
+	return true
+}
+
+// errBodyUsed reports a body whose rest belongs to another attempt.
+var errBodyUsed = errors.New("the body was sent by another attempt")
 
 // send writes the body as chunks. first is sent together with the first chunk.
-func (b *requestBody) send(x exchange, first ...*wire.Envelope) error {
-	if b.length == 0 {
+func (s *bodySender) send(x exchange, first ...*wire.Envelope) error {
+	if s.length == 0 {
 		return sendAll(x, first)
 	}
-	whole := b.rest == nil
-	if len(b.prefix) <= wire.ChunkBytes {
-		if err := x.Send(append(first, chunkEnvelope(b.prefix, whole))...); err != nil {
+	whole := s.rest == nil
+	if len(s.prefix) <= wire.ChunkBytes {
+		if err := x.Send(append(first, chunkEnvelope(s.prefix, whole))...); err != nil {
 			return err
 		}
-	} else if err := b.sendPrefix(x, first); err != nil {
+	} else if err := s.sendPrefix(x, first); err != nil {
 		return err
 	}
 	if whole {
 		return nil
 	}
-	b.consumed = true
-	return sendRest(x, b.rest)
+	if !s.claimRest() {
+		return errBodyUsed
+	}
+	return s.sendRest(x)
 }
 
 func sendAll(x exchange, es []*wire.Envelope) error {
@@ -112,13 +172,13 @@
 	return x.Send(es...)
 }
 
-func (b *requestBody) sendPrefix(x exchange, first []*wire.Envelope) error {
+func (s *bodySender) sendPrefix(x exchange, first []*wire.Envelope) error {
 	if err := sendAll(x, first); err != nil {
 		return err
 	}
-	for data := b.prefix; len(data) > 0; {
+	for data := s.prefix; len(data) > 0; {
 		n := min(len(data), wire.ChunkBytes)
-		last := n == len(data) && b.rest == nil
+		last := n == len(data) && s.rest == nil
 		if err := x.Send(chunkEnvelope(data[:n], last)); err != nil {
 			return err
 		}
@@ -129,14 +189,15 @@
 
 // sendRest streams the part of a body that is not buffered. The end of the body
 // is announced only after the caller has sent all of it.
-func sendRest(x exchange, rest io.Reader) error {
+func (s *bodySender) sendRest(x exchange) error {
 	for {
 		buf := make([]byte, wire.ChunkBytes) // Not reused: an in-process exchange keeps it.
-		n, err := readChunk(rest, buf, true)
+		n, err := readChunk(s.rest, buf, true)
 		if errors.Is(err, io.EOF) {
 			return x.Send(chunkEnvelope(buf[:n], true))
 		}
 		if err != nil {
+			s.fail(err)
 			return err
 		}
 		if err := x.Send(chunkEnvelope(buf[:n], false)); err != nil {
@@ -152,31 +213,39 @@
 	prefix []byte
 	whole  bool
 	rest   *replyReader
+	// release ends the attempt that the answer belongs to; nil if nothing is held.
+	release func()
 }
 
-// replyReader reads the body of a reply. It returns io.EOF only after the owner
-// has confirmed the end of the body and its length.
+// replyReader reads the body of a reply. It is done only after the owner has
+// confirmed the end of the body and its length.
 type replyReader struct {
-	x       exchange
-	load    func(*wire.Load)
-	pending []byte
-	count   int64
-	done    bool
+	x    exchange
+	load func(*wire.Load)
+	// declared is the length of the body by its head; -1 if unknown.
+	declared int64
+	pending  []byte
+	count    int64
+	done     bool
 }
 
-// Read implements io.Reader. Every error but io.EOF is a *verdict.Error.
-func (r *replyReader) Read(p []byte) (int, error) {
-	for len(r.pending) == 0 {
+// writeTo passes the rest of the body on. An error is a *verdict.Error or that
+// of w.
+func (r *replyReader) writeTo(w io.Writer) error {
+	for {
+		if len(r.pending) > 0 {
+			if _, err := w.Write(r.pending); err != nil {
+				return err
+			}
+			r.pending = nil
+		}
 		if r.done {
-			return 0, io.EOF
+			return nil
 		}
 		if err := r.next(); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	n := copy(p, r.pending)
-	r.pending = r.pending[n:]
-	return n, nil
 }
 
 func (r *replyReader) next() error {
@@ -191,7 +260,7 @@
 		return nil
 	case *wire.Envelope_End:
 		r.load(m.End.GetLoad())
-		if m.End.GetBodyBytes() != r.count {
+		if m.End.GetBodyBytes() != r.count || r.declared >= 0 && r.declared != r.count {
 			return verdict.Lost("answer-cut", "the answer is shorter than the owner sent it", nil)
 		}
 		r.done = true
--- a/node/server.go
+++ b/node/server.go
@@ -16,24 +16,61 @@
 // deadline of its request.
 const writeGrace = 30 * time.Second
 
+const (
+	// maxStreams is the number of requests that one HTTP/2 connection may run at
+	// once; the default of net/http.
+	maxStreams = 250
+	// pingInterval is the silence after which an HTTP/2 connection is checked and
+	// the time that the check may take.
+	pingInterval = 15 * time.Second
+)
+
 // serveHTTP starts the HTTP servers for callers, announcements and metrics.
 func (n *Node) serveHTTP(l *listeners) {
+	n.traffic = n.trafficServer()
+	traffic := netutil.LimitListener(l.traffic, n.settings.Limits.MaxConnections)
+	if n.deps.TrafficTLS != nil {
+		traffic = tls.NewListener(traffic, trafficTLS(n.deps.TrafficTLS))
+	}
+	n.serve(n.traffic, traffic)
+	n.serve(internalServer(n.announceHandler()), l.announce)
+	n.serve(internalServer(n.metricsHandler()), l.metrics)
+}
+
+// trafficServer returns the HTTP server for callers.
+func (n *Node) trafficServer() *http.Server {
 	limits := n.settings.Limits
-	n.traffic = &http.Server{
+	return &http.Server{
 		Handler:           &entry{node: n, metrics: n.metrics},
 		ReadHeaderTimeout: limits.HeaderReadTimeout.Std(),
 		IdleTimeout:       limits.IdleTimeout.Std(),
 		MaxHeaderBytes:    int(limits.MaxHeaderBytes),
 		Protocols:         protocols(),
 		ErrorLog:          discardLog(),
+		HTTP2:             http2Limits(),
+		// Without this net/http answers "OPTIONS *" itself, without a verdict.
+		DisableGeneralOptionsHandler: true,
 	}
-	traffic := netutil.LimitListener(l.traffic, limits.MaxConnections)
-	if n.deps.TrafficTLS != nil {
-		traffic = tls.NewListener(traffic, n.deps.TrafficTLS)
+}
+
+// http2Limits bounds the memory of one caller's connection. net/http would buffer
+// 1 MiB of each request body.
+func http2Limits() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams:          maxStreams,
+		MaxReceiveBufferPerStream:     bufferBytes,
+		MaxReceiveBufferPerConnection: 1 << 20,
+		SendPingTimeout:               pingInterval,
+		PingTimeout:                   pingInterval,
+		WriteByteTimeout:              writeGrace,
 	}
-	n.serve(n.traffic, traffic)
-	n.serve(internalServer(n.announceHandler()), l.announce)
-	n.serve(internalServer(n.metricsHandler()), l.metrics)
+}
+
+// trafficTLS offers HTTP/2 and HTTP/1.1 to callers.
+func trafficTLS(config *tls.Config) *tls.Config {
+	config = config.Clone()
+	config.NextProtos = []string{"h2", "http/1.1"}
+	return config
 }
 
 // protocols allows HTTP/1.1 and HTTP/2, the latter also without TLS.
