--- a/node/entry.go
+++ b/node/entry.go
@@ -69,6 +69,9 @@
 	if !c.bodyRead && c.r.ProtoMajor == 1 {
 		c.abandonBody()
 	}
+	if err.Status == http.StatusUnauthorized {
+		c.w.Header().Set("Www-Authenticate", "Bearer") // Required by RFC 9110, 15.5.2.
+	}
 	err.Write(c.w, c.id)
 }
 
