Test that a slow reader slows the backend server

Cause: nothing proved that a long answer is not read into memory while its caller reads nothing.

Change: a caller reads only the head of an answer of 256 MiB; the backend server must stall before it has written 64 MiB, over HTTP/1.1 and HTTP/2.

--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -210,3 +213,38 @@
 	requireProblem(t, r, 503, verdict.NotRun, "no-owner")
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 }
+
+// Guards against nodes that read a long answer into memory while its caller
+// reads nothing: the backend server has to be slowed down. What it can write by
+// then is held by the sockets and windows on the way.
+func TestSlowReaderSlowsBackend(t *testing.T) {
+	const size, bound = 256 << 20, 64 << 20
+	var written atomic.Int64
+	backend := newHandlerBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(verdict.RequestIDHeader, r.Header.Get(verdict.RequestIDHeader))
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		for written.Load() < size {
+			n, err := w.Write(make([]byte, 64<<10))
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	f := newFleet(t, backend)
+	bothProtocols(t, func(t *testing.T, c *http.Client) {
+		written.Store(0)
+		resp, err := c.Get("http://" + f.address + "/shop/x")
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		last := int64(-1)
+		eventually(t, func() bool { // Until nothing more is written for a while.
+			time.Sleep(200 * time.Millisecond)
+			now := written.Load()
+			stalled := now == last
+			last = now
+			return stalled
+		}, "the backend server is stalled or done")
+		require.Less(t, last, int64(bound))
+	})
+}
