Run both deployments as processes through faults with make demo

Cause: until now no run showed the binary, the stand-ins and the commands together as separate processes.

Change: standin/cmd/demo lays out ffon and cola on loopback addresses with fresh keys and a throw-away CA (links and callers of cola use TLS), starts 48 nodes, 48 backend servers and 2 platforms, drives load over HTTP/1.1 and HTTP/2, and goes through a rule change, a withdrawn key, a zone move, a drained backend server, a platform outage, a graceful stop, a killed backend server, a frozen node and a killed node. The stand-in backend server records known secrets; the load tool speaks HTTP/2, fails over on refused connections and keeps every attempt. CheckExecutions now judges any order without an uncertain attempt, not only those with one attempt.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,12 @@
 test: ## Run all tests.
 	go test -timeout 10m $(PACKAGES)
 
+demo: build ## Run both deployments as processes through faults; exit 0 only if every promise held.
+	bin/demo run
+
+serve: build ## Leave one deployment up until Ctrl-C and print commands to try.
+	bin/demo serve
+
 generate: $(BUF) $(PROTOC_GEN_GO) ## Regenerate the protobuf code.
 	cd wire && PATH=$(TOOLS):$$PATH $(BUF) generate
 
--- a/standin/backend/backend_test.go
+++ b/standin/backend/backend_test.go
@@ -262,3 +262,16 @@
 	require.Eventually(t, func() bool { return get(clients[1]) == nil }, time.Minute, time.Millisecond)
 	clients[1].CloseIdleConnections()
 }
+
+// Guards against a key that reaches a backend server unnoticed, or is counted as
+// an execution, and against a journal that can only be read by a live server.
+func TestSecretsAreRecorded(t *testing.T) {
+	journal := filepath.Join(t.TempDir(), "journal")
+	s := newServer(t, Config{Journal: journal, Secrets: []string{"tdk_secret"}})
+	serve(t.Context(), s, http.Header{"X-Hidden": {"prefix tdk_secret"}})
+	s.Kill()
+	e, err := ReadJournal(journal)
+	require.NoError(t, err)
+	require.Equal(t, map[string]int{"header X-Hidden": 1}, e.Secrets)
+	require.EqualValues(t, 1, e.Total)
+}
--- a/standin/backend/config.go
+++ b/standin/backend/config.go
@@ -77,6 +77,9 @@
 	// Journal is a file that keeps the executions across restarts; empty means
 	// that they are kept in memory only.
 	Journal string
+	// Secrets are values that no request may carry, such as the keys of teams;
+	// a request that does is recorded in Executions.Secrets.
+	Secrets []string
 	// OnCrash is called when a request crashes the server; default Kill.
 	OnCrash func()
 	// Logger receives changes of state; default none.
--- a/standin/backend/control.go
+++ b/standin/backend/control.go
@@ -19,6 +19,8 @@
 	Cold bool `json:"cold"`
 	// InFlight is the number of executions now.
 	InFlight int `json:"in_flight"`
+	// LastStarted is the time of the latest start of an execution.
+	LastStarted time.Time `json:"last_started"`
 	// Started counts executions.
 	Started uint64 `json:"started"`
 	// Completed counts executions that ran to the end.
--- a/standin/backend/executions.go
+++ b/standin/backend/executions.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,27 @@
 	Keys map[string]int `json:"keys"`
 	// Orders counts executions by order id.
 	Orders map[string]int `json:"orders"`
+	// Secrets counts requests that carried a value of Config.Secrets, by the place
+	// where it was found, for example "header X-Api-Key".
+	Secrets map[string]int `json:"secrets,omitempty"`
+}
+
+func newExecutions() Executions {
+	return Executions{Keys: make(map[string]int), Orders: make(map[string]int)}
+}
+
+// Add adds the counts of another server.
+func (e *Executions) Add(o Executions) {
+	e.Total += o.Total
+	for key, n := range o.Keys {
+		e.Keys[key] += n
+	}
+	for id, n := range o.Orders {
+		e.Orders[id] += n
+	}
+	for place, n := range o.Secrets {
+		e.addSecret(place, n)
+	}
 }
 
 // Repeated returns only the keys and orders that were executed more than once.
@@ -42,10 +65,19 @@
 	return r
 }
 
+func (e *Executions) addSecret(place string, n int) {
+	if e.Secrets == nil {
+		e.Secrets = make(map[string]int)
+	}
+	e.Secrets[place] += n
+}
+
 // execution is one line of the journal.
 type execution struct {
 	Key   string `json:"key,omitempty"`
 	Order string `json:"order,omitempty"`
+	// Secret is the place of a known secret; such a line is no execution.
+	Secret string `json:"secret,omitempty"`
 }
 
 // newExecution returns the key and the order id of a request. The order id is
@@ -70,7 +102,7 @@
 // newRecorder opens the journal, if path is not empty, and reads what earlier
 // processes recorded. A last line that was cut by a crash is ignored.
 func newRecorder(path string) (*recorder, error) {
-	r := &recorder{counts: Executions{Keys: make(map[string]int), Orders: make(map[string]int)}}
+	r := &recorder{counts: newExecutions()}
 	if path == "" {
 		return r, nil
 	}
@@ -78,7 +110,32 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open journal")
 	}
-	lines := bufio.NewScanner(f)
+	if err := r.read(f); err != nil {
+		return nil, errors.CombineErrors(err, f.Close())
+	}
+	// An empty line ends one that was cut, so that the next record is not lost with it.
+	if _, err := f.WriteString("\n"); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "write journal"), f.Close())
+	}
+	r.journal = f
+	return r, nil
+}
+
+// ReadJournal returns the counts of the journal of a server, which may be dead.
+func ReadJournal(path string) (Executions, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Executions{}, errors.Wrap(err, "open journal")
+	}
+	defer func() { _ = f.Close() }() // It was only read.
+	r := &recorder{counts: newExecutions()}
+	err = r.read(f)
+	return r.counts, err
+}
+
+// read counts the lines of a journal and ignores malformed ones.
+func (r *recorder) read(journal io.Reader) error {
+	lines := bufio.NewScanner(journal)
 	lines.Buffer(nil, maxJournalLine)
 	for lines.Scan() {
 		var e execution
@@ -86,15 +143,24 @@
 			r.count(e)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return nil, errors.CombineErrors(errors.Wrap(err, "read journal"), f.Close())
-	}
-	// An empty line ends one that was cut, so that the next record is not lost with it.
-	if _, err := f.WriteString("\n"); err != nil {
-		return nil, errors.CombineErrors(errors.Wrap(err, "write journal"), f.Close())
+	return errors.Wrap(lines.Err(), "read journal")
+}
+
+// findSecret returns the place of a secret in a request, or "" without one.
+func findSecret(r *http.Request, secrets []string) string {
+	for _, secret := range secrets {
+		if strings.Contains(r.URL.RawQuery, secret) || strings.Contains(r.URL.Path, secret) {
+			return "URL"
+		}
+		for name, values := range r.Header {
+			for _, v := range values {
+				if strings.Contains(v, secret) {
+					return "header " + name
+				}
+			}
+		}
 	}
-	r.journal = f
-	return r, nil
+	return ""
 }
 
 // record notes the start of an execution before it can have an effect.
@@ -114,6 +180,10 @@
 }
 
 func (r *recorder) count(e execution) {
+	if e.Secret != "" {
+		r.counts.addSecret(e.Secret, 1)
+		return
+	}
 	r.counts.Total++
 	if e.Key != "" {
 		r.counts.Keys[e.Key]++
@@ -127,17 +197,8 @@
 func (r *recorder) snapshot() Executions {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := Executions{
-		Total:  r.counts.Total,
-		Keys:   make(map[string]int, len(r.counts.Keys)),
-		Orders: make(map[string]int, len(r.counts.Orders)),
-	}
-	for key, n := range r.counts.Keys {
-		c.Keys[key] = n
-	}
-	for id, n := range r.counts.Orders {
-		c.Orders[id] = n
-	}
+	c := newExecutions()
+	c.Add(r.counts)
 	return c
 }
 
--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -56,6 +56,12 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if place := findSecret(r, s.config.Secrets); place != "" {
+		if err := s.recorder.record(execution{Secret: place}); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
 	run, refused := s.begin(time.Now())
 	if refused != "" {
 		w.Header().Set(verdict.RefusedHeader, refused)
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -285,6 +285,7 @@
 	s.inFlight++
 	s.sequence++
 	s.stats.Started++
+	s.stats.LastStarted = now
 	s.sample(now)
 	p := drawPlan(&s.config, &s.faults, s.sequence)
 	p.serviceTime = time.Duration(float64(p.serviceTime) * s.warmup.begin(now))
--- /dev/null
+++ b/standin/cmd/demo/certificates.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// certificateLifetime is longer than any run of the demo.
+const certificateLifetime = 24 * time.Hour
+
+// authority is a throw-away certificate authority.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	serial      int64
+	file        string
+}
+
+// newAuthority writes the certificate of a new authority to dir.
+func newAuthority(dir string) (*authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "generate key of the authority")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "demo authority"},
+		NotBefore: time.Now().Add(-time.Minute), NotAfter: time.Now().Add(certificateLifetime),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign the authority")
+	}
+	a := &authority{key: key, serial: 1, file: filepath.Join(dir, "ca.pem")}
+	if a.certificate, err = x509.ParseCertificate(der); err != nil {
+		return nil, errors.Wrap(err, "read the authority")
+	}
+	return a, writePEM(a.file, "CERTIFICATE", der)
+}
+
+// issue writes a certificate for a node, valid for its links and for its callers.
+// The common name is the name of the node, to which links bind a certificate.
+func (a *authority) issue(name, address, certFile, keyFile string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "generate key")
+	}
+	a.serial++
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name},
+		IPAddresses: []net.IP{net.ParseIP(address)},
+		NotBefore:   time.Now().Add(-time.Minute), NotAfter: time.Now().Add(certificateLifetime),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return errors.Wrapf(err, "sign certificate of %s", name)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	return errors.Join(writePEM(certFile, "CERTIFICATE", der), writePEM(keyFile, "PRIVATE KEY", private))
+}
+
+func writePEM(file, kind string, der []byte) error {
+	return os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
--- /dev/null
+++ b/standin/cmd/demo/deployment.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoildock.example/standin/backend"
+)
+
+const (
+	startTimeout   = 40 * time.Second
+	pollInterval   = 100 * time.Millisecond
+	controlTimeout = 2 * time.Second
+	// coldRequests are the executions after which a backend server is warm. They
+	// are fewer than the 8 successes after which an owner opens a second slot, so
+	// an owner that keeps its ramp never makes a server collapse.
+	coldRequests = "6"
+)
+
+// deployment is a running deployment.
+type deployment struct {
+	layout
+
+	dir       string
+	workspace *workspace
+	processes *processes
+	machines  []vm
+	token     string
+	rulesText string
+	keys      map[string]string // in clear, by team
+	caFile    string
+
+	mu       sync.Mutex
+	platform *process
+	nodes    map[string]*process // by node
+	backends map[string]*process // by backend server
+	changes  []change            // changes made by commands, oldest first
+}
+
+// provision writes all files of a deployment.
+func provision(l layout, w *workspace, p *processes) (*deployment, error) {
+	d := &deployment{
+		layout: l, dir: filepath.Join(w.dir, l.name), workspace: w, processes: p, machines: l.vms(),
+		nodes: make(map[string]*process), backends: make(map[string]*process),
+	}
+	if err := os.Mkdir(d.dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "create folder")
+	}
+	text, err := os.ReadFile(filepath.Join(w.rules, l.name+".rules"))
+	if err != nil {
+		return nil, errors.Wrap(err, "read example rules")
+	}
+	if d.rulesText, d.keys, err = issueKeys(string(text)); err != nil {
+		return nil, err
+	}
+	var secrets strings.Builder
+	for _, key := range d.keys {
+		secrets.WriteString(key + "\n")
+	}
+	token, digest := newToken()
+	d.token = token
+	err = errors.Join(
+		os.WriteFile(d.path("all.rules"), []byte(d.rulesText), 0o600),
+		os.WriteFile(d.path("secrets"), []byte(secrets.String()), 0o600),
+		os.WriteFile(d.path("token"), []byte(token+"\n"), 0o600))
+	if err != nil {
+		return nil, errors.Wrap(err, "write files")
+	}
+	ca, err := newAuthority(d.dir)
+	if err != nil {
+		return nil, err
+	}
+	d.caFile = ca.file
+	for i := range d.machines {
+		if err := d.writeSettings(&d.machines[i], ca, digest); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// start starts the platform, the backend servers and the nodes and waits until
+// every node is ready.
+func (d *deployment) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	var err error
+	d.platform, err = d.processes.start(d.name+" platform", d.path("platform.log"), d.workspace.standins,
+		"platform", "--listen", d.platformAddress())
+	if err != nil {
+		return err
+	}
+	if err := d.until(ctx, "the platform to serve", func() bool {
+		return getJSON(ctx, "http://"+d.platformAddress()+"/stats", nil) == nil
+	}); err != nil {
+		return err
+	}
+	for i := range d.machines {
+		if err := errors.Join(d.startBackend(&d.machines[i]), d.startNode(&d.machines[i])); err != nil {
+			return err
+		}
+	}
+	for i := range d.machines {
+		v := &d.machines[i]
+		if err := d.until(ctx, v.name+" to be ready", func() bool { return d.ready(ctx, v) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) startNode(v *vm) error {
+	p, err := d.processes.start(v.name, d.path(v.name+".log"), d.workspace.trefoildock, "node", "--settings", d.path(v.name+".toml"))
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nodes[v.name] = p
+	return nil
+}
+
+func (d *deployment) startBackend(v *vm) error {
+	p, err := d.processes.start(v.backend, d.path(v.backend+".log"), d.workspace.standins, "backend",
+		"--name", v.backend, "--service", v.service, "--listen", v.at(backendPort),
+		"--announce", "http://"+v.at(announcePort), "--journal", d.journal(v), "--secrets", d.path("secrets"),
+		"--cold-requests", coldRequests)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.backends[v.backend] = p
+	return nil
+}
+
+func (d *deployment) node(v *vm) *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.nodes[v.name]
+}
+
+func (d *deployment) backendProcess(v *vm) *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.backends[v.backend]
+}
+
+func (d *deployment) journal(v *vm) string { return d.path(v.backend + ".journal") }
+
+// ready reports whether a node is ready for callers.
+func (d *deployment) ready(ctx context.Context, v *vm) bool {
+	return getJSON(ctx, "http://"+v.at(metricsPort)+"/readyz", nil) == nil
+}
+
+// until polls a condition and fails when a program has ended or ctx ends.
+func (d *deployment) until(ctx context.Context, what string, condition func() bool) error {
+	for {
+		if condition() {
+			return nil
+		}
+		if err := pause(ctx, pollInterval); err != nil {
+			return errors.Wrapf(err, "%s: waiting for %s", d.name, what)
+		}
+	}
+}
+
+// stats returns the counts of a live backend server.
+func (d *deployment) stats(ctx context.Context, v *vm) (backend.Stats, error) {
+	var s backend.Stats
+	err := getJSON(ctx, "http://"+v.at(backendPort)+"/stats", &s)
+	return s, err
+}
+
+// executions sums up the journals of all backend servers, dead ones included.
+func (d *deployment) executions() (backend.Executions, error) {
+	sum := backend.Executions{Keys: make(map[string]int), Orders: make(map[string]int)}
+	for i := range d.machines {
+		e, err := backend.ReadJournal(d.journal(&d.machines[i]))
+		if err != nil {
+			return sum, err
+		}
+		sum.Add(e)
+	}
+	return sum, nil
+}
+
+// setPlatform switches the faults of the platform.
+func (d *deployment) setPlatform(ctx context.Context, mode string) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	body := bytes.NewReader([]byte(`{"mode":"` + mode + `"}`))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+d.platformAddress()+"/faults", body)
+	if err != nil {
+		return err
+	}
+	return exchange(req, nil)
+}
+
+// getJSON reads the JSON answer of a URL; m may be nil.
+func getJSON(ctx context.Context, url string, m any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return exchange(req, m)
+}
+
+func exchange(req *http.Request, m any) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= 300 {
+		return errors.Newf("%s: status %d", req.URL, resp.StatusCode)
+	}
+	if m == nil {
+		return nil
+	}
+	return json.Unmarshal(body, m)
+}
--- /dev/null
+++ b/standin/cmd/demo/layout_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/rules"
+)
+
+// Guards against addresses that collide and against services that lose more
+// than a third of their backend servers with a zone.
+func TestLayoutsAreSpreadEvenly(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, l := range []layout{ffon(20), cola(30)} {
+		inZone := make(map[string]int)
+		ofService := make(map[string]int)
+		for _, v := range l.vms() {
+			require.False(t, seen[v.address], v.address)
+			seen[v.address] = true
+			inZone[v.zone]++
+			ofService[v.zone+" "+v.service]++
+		}
+		for _, zone := range l.zones {
+			require.Equal(t, vmsPerZone, inZone[zone])
+			for _, s := range l.services {
+				require.Equal(t, s.backends/zonesPerDeployment, ofService[zone+" "+s.name])
+			}
+		}
+	}
+	require.Len(t, seen, 48)
+}
+
+// Guards against teams of the load that are missing in the rules file or send
+// more than their rate, which would make their refusals rightful.
+func TestCallersKeepTheirRates(t *testing.T) {
+	for _, l := range []layout{ffon(20), cola(30)} {
+		file := "../../../settings/examples/" + l.name + ".rules"
+		text := readTestFile(t, file)
+		for _, teams := range []map[string]float64{l.load.first, l.load.second} {
+			for team, offered := range teams {
+				rate, _, err := rateOf(file, text, team)
+				require.NoError(t, err)
+				require.Equal(t, team == l.load.greedy, offered > rate, team)
+			}
+		}
+		c, err := rules.Parse(file, strings.NewReader(text))
+		require.NoError(t, err)
+		for _, k := range l.load.kinds {
+			route, ok := rules.NewRouter(c).Match(k.method, "", k.path)
+			require.True(t, ok, k.path)
+			require.Equal(t, k.open, route.Access == rules.AccessOpen, k.path)
+		}
+	}
+}
--- /dev/null
+++ b/standin/cmd/demo/operator.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Names in the comments of the demo's changes.
+const (
+	requester      = "D. Emo"
+	commandTimeout = 15 * time.Second
+)
+
+// change is a change that a command made.
+type change struct {
+	reason  string
+	version uint64
+	// asked is when the command was started, done when it returned.
+	asked, done time.Time
+	// inForce of nodes had the change when the command returned.
+	inForce, nodes int
+	accepted       bool
+}
+
+// changeResult is the JSON output of a command that changes the configuration.
+type changeResult struct {
+	Version    uint64 `json:"version"`
+	Changed    bool   `json:"changed"`
+	Acceptance *struct {
+		Acknowledged int `json:"acknowledged"`
+		Needed       int `json:"needed"`
+		InForce      int `json:"in_force"`
+		Nodes        int `json:"nodes"`
+	} `json:"acceptance"`
+}
+
+// command runs trefoildock against the admin API of a node and returns its
+// standard output and its exit code.
+func (d *deployment) command(ctx context.Context, v *vm, args ...string) (out []byte, code int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	all := append([]string{"--server", "http://" + v.at(adminPort), "--json"}, args...)
+	cmd := exec.CommandContext(ctx, d.workspace.trefoildock, all...)
+	cmd.Env = append(os.Environ(), "TREFOILDOCK_TOKEN="+d.token)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	err = cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.Exited() {
+		return stdout.Bytes(), exit.ExitCode(), errors.Newf("trefoildock %v: %s: %s", args, exit, stderr.String())
+	}
+	return stdout.Bytes(), 0, errors.Wrapf(err, "trefoildock %v", args)
+}
+
+// change runs a command that changes the configuration and records the change.
+func (d *deployment) change(ctx context.Context, v *vm, reason string, args ...string) (change, error) {
+	c := change{reason: reason, asked: time.Now()}
+	args = append(args, "--requester", requester, "--reason", reason)
+	out, _, err := d.command(ctx, v, args...)
+	c.done = time.Now()
+	if err != nil {
+		return c, err
+	}
+	var r changeResult
+	if err := json.Unmarshal(out, &r); err != nil {
+		return c, errors.Wrapf(err, "output of trefoildock %v", args)
+	}
+	if !r.Changed || r.Acceptance == nil {
+		return c, errors.Newf("trefoildock %v changed nothing: %s", args, out)
+	}
+	c.version = r.Version
+	c.inForce, c.nodes = r.Acceptance.InForce, r.Acceptance.Nodes
+	c.accepted = r.Acceptance.Acknowledged >= r.Acceptance.Needed
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changes = append(d.changes, c)
+	return c, nil
+}
+
+// applyRules applies a rules file and waits until every backend server is known.
+func (d *deployment) applyRules(ctx context.Context) error {
+	v := &d.machines[0]
+	if _, err := d.change(ctx, v, "start of the demo", "apply", d.path("all.rules")); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return d.until(ctx, "all owners to be members", func() bool { return d.owners(ctx, v) == len(d.machines) })
+}
+
+// owners returns the number of owners over all services, as a node sees it.
+func (d *deployment) owners(ctx context.Context, v *vm) int {
+	out, _, err := d.command(ctx, v, "status")
+	if err != nil {
+		return 0
+	}
+	var status struct {
+		Services []struct {
+			Owners []string `json:"owners"`
+		} `json:"services"`
+	}
+	if json.Unmarshal(out, &status) != nil {
+		return 0
+	}
+	n := 0
+	for _, s := range status.Services {
+		n += len(s.Owners)
+	}
+	return n
+}
+
+// auditRecord is one record of the audit trail.
+type auditRecord struct {
+	Version     uint64 `json:"version"`
+	ReadVersion uint64 `json:"read_version"`
+	Operator    string `json:"operator"`
+	Requester   string `json:"requester"`
+	Reason      string `json:"reason"`
+}
+
+// audit returns the whole audit trail.
+func (d *deployment) audit(ctx context.Context, v *vm) ([]auditRecord, error) {
+	out, _, err := d.command(ctx, v, "audit", "--limit", "1000")
+	if err != nil {
+		return nil, err
+	}
+	var page struct {
+		Entries []auditRecord `json:"entries"`
+	}
+	err = json.Unmarshal(out, &page)
+	return page.Entries, errors.Wrap(err, "output of trefoildock audit")
+}
--- a/standin/cmd/standin/backend.go
+++ b/standin/cmd/standin/backend.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"trefoildock.example/standin/backend"
@@ -27,6 +29,7 @@
 	HealthTime     time.Duration `default:"25ms" help:"Time of a probe."`
 	DrainTime      time.Duration `default:"1s" help:"Time between the draining announcement and the end of listening."`
 	StopTimeout    time.Duration `default:"20s" help:"Time for drain and requests in flight after a stop signal."`
+	Secrets        string        `type:"existingfile" help:"File with values that no request may carry, one per line."`
 	Journal        string        `help:"File that keeps the executions across restarts."`
 	Seed           uint64        `default:"1" help:"Seed of all random choices."`
 }
@@ -34,11 +37,16 @@
 // Run serves until ctx ends, then drains.
 func (c *backendCommand) Run(ctx context.Context, logger log.Logger) error {
 	logger = log.With(logger, "backend", c.Name)
+	secrets, err := readLines(c.Secrets)
+	if err != nil {
+		return err
+	}
 	s, err := backend.New(backend.Config{
 		Name: c.Name, Service: c.Service, Listen: c.Listen, Control: c.Control, Announce: c.Announce,
 		Slots: c.Slots, Connections: c.Connections, ServiceTime: c.ServiceTime, Spread: c.Spread,
 		ColdTime: c.ColdTime, ColdRequests: c.ColdRequests, ColdFactor: c.ColdFactor, CollapseFactor: c.CollapseFactor,
 		HealthTime: c.HealthTime, DrainTime: c.DrainTime, Journal: c.Journal, Seed: c.Seed,
+		Secrets: secrets,
 		OnCrash: func() { os.Exit(exitCrash) },
 		Logger:  logger,
 	})
@@ -56,3 +64,12 @@
 	logger.Log("msg", "backend server stopped")
 	return err
 }
+
+// readLines returns the words of a file; without a name there are none.
+func readLines(name string) ([]string, error) {
+	if name == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(name)
+	return strings.Fields(string(text)), errors.Wrap(err, "read secrets")
+}
--- a/standin/load/attempt.go
+++ b/standin/load/attempt.go
@@ -61,6 +61,11 @@
 	body  []byte
 }
 
+// uncertain reports whether the attempt may have been executed.
+func (o Outcome) uncertain() bool {
+	return o != NotRun && o != NotSent
+}
+
 // newOrder returns a request with an identity of its own.
 func newOrder(team *Team, kind *Kind, id string) (*order, error) {
 	o := &order{team: team, kind: kind, id: id}
@@ -87,8 +92,12 @@
 
 // expected returns what the answer must repeat.
 func (o *order) expected() answer.Request {
+	team := o.team.Name
+	if o.kind.Open {
+		team = ""
+	}
 	return answer.Request{
-		Method: o.kind.Method, Path: o.kind.Path, Query: o.query, Team: o.team.Name,
+		Method: o.kind.Method, Path: o.kind.Path, Query: o.query, Team: team,
 		Body: o.body, Padding: o.kind.AnswerPadding,
 	}
 }
@@ -100,6 +109,10 @@
 	detail string
 	// code is the HTTP status, or 0 without one.
 	code int
+	// refusal is the code of the problem body of a failure.
+	refusal string
+	// team is the team that the answer names.
+	team string
 	// replays counts how often net/http sent a read again by itself because its
 	// connection was closed without an answer.
 	replays uint64
@@ -167,6 +180,15 @@
 	return req, nil
 }
 
+// problemCode returns the code of an RFC 9457 body, or "" without one.
+func problemCode(body []byte) string {
+	var p verdict.Problem
+	if json.Unmarshal(body, &p) != nil {
+		return ""
+	}
+	return p.Type[strings.LastIndexByte(p.Type, ':')+1:]
+}
+
 // judge classifies a whole answer.
 func judge(resp *http.Response, body []byte, o *order) result {
 	r := result{code: resp.StatusCode}
@@ -178,11 +200,16 @@
 		err := o.expected().Verify(body, resp.Header.Get(verdict.RequestIDHeader), resp.Header.Get(answer.DigestHeader))
 		if err != nil {
 			r.outcome, r.detail = Wrong, err.Error()
+			return r
 		}
+		var a answer.Answer
+		_ = json.Unmarshal(body, &a) // Verify has decoded it.
+		r.team = a.Team
 		return r
 	}
 	name := resp.Header.Get(verdict.Header)
-	r.detail = strconv.Itoa(resp.StatusCode) + " " + name
+	r.refusal = problemCode(body)
+	r.detail = strconv.Itoa(resp.StatusCode) + " " + name + " " + r.refusal
 	switch {
 	case name == verdict.NotRun.String():
 		r.outcome = NotRun
--- a/standin/load/config.go
+++ b/standin/load/config.go
@@ -56,6 +56,17 @@
 	Resends int `json:"resends"`
 	// ResendDelay is the wait before a resend; default 200 ms.
 	ResendDelay time.Duration `json:"resend_delay"`
+	// HTTP2 uses HTTP/2 for all requests, without TLS for http entries. Default
+	// HTTP/1.1.
+	HTTP2 bool `json:"http2"`
+	// CAFile is a PEM file with the authorities for https entries. Default: those
+	// of the system.
+	CAFile string `json:"ca_file"`
+	// Failover sends a request to the next entry when no connection could be
+	// opened, as a caller with several addresses does; at most once per entry.
+	Failover bool `json:"failover"`
+	// KeepAttempts lists every attempt in the report.
+	KeepAttempts bool `json:"keep_attempts"`
 	// KeepOrders lists every order in the report, for a comparison with the
 	// executions of the backend servers.
 	KeepOrders bool `json:"keep_orders"`
@@ -83,6 +94,9 @@
 	Host string `json:"host"`
 	// Share is the weight of this kind among all kinds.
 	Share float64 `json:"share"`
+	// Open marks a route that is open to all. The team of its answer is not
+	// compared, because a node that is not fresh runs it without a team.
+	Open bool `json:"open"`
 	// AnswerPadding is the number of bytes asked for with ?size=.
 	AnswerPadding int `json:"answer_padding"`
 	// BodyPadding is the number of bytes added to the body of an order.
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -147,14 +147,16 @@
 		{ID: "doubled", Key: "2", Attempts: 2, Outcome: Answered},
 		{ID: "lost", Key: "3", Attempts: 1, Outcome: Answered},
 		{ID: "false refusal", Key: "4", Attempts: 1, Outcome: NotRun},
-		{ID: "unknown", Key: "5", Attempts: 2, Outcome: NotRun},
-		{ID: "cut", Key: "6", Attempts: 1, Outcome: Cut},
+		{ID: "unknown", Key: "5", Attempts: 2, Outcome: NotRun, Uncertain: true},
+		{ID: "cut", Key: "6", Attempts: 1, Outcome: Cut, Uncertain: true},
+		{ID: "false refusals", Key: "7", Attempts: 2, Outcome: NotRun},
 	}
-	broken := CheckExecutions(orders, map[string]int{"1": 1, "2": 2, "4": 1, "5": 1})
+	broken := CheckExecutions(orders, map[string]int{"1": 1, "2": 2, "4": 1, "5": 1, "7": 1})
 	require.Equal(t, []string{
 		"order doubled ran 2 times",
 		"order lost was answered and did not run",
 		"order false refusal was refused as not run and ran",
+		"order false refusals was refused as not run and ran",
 	}, broken)
 }
 
@@ -215,3 +217,29 @@
 	attempt(http.MethodGet)
 	require.Equal(t, uint64(1), attempt(http.MethodGet).replays)
 }
+
+// Guards against a caller that gives up at an entry that is down, and against
+// HTTP/2 runs that fall back to HTTP/1.1.
+func TestFailoverAndHTTP2(t *testing.T) {
+	var protocols sync.Map
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		protocols.Store(r.Proto, true)
+		w.WriteHeader(http.StatusTeapot)
+	})
+	srv := httptest.NewUnstartedServer(h)
+	srv.Config.Protocols = new(http.Protocols)
+	srv.Config.Protocols.SetUnencryptedHTTP2(true)
+	srv.Start()
+	defer srv.Close()
+	down := httptest.NewServer(h)
+	down.Close()
+	c := config(40, down.URL, srv.URL)
+	c.HTTP2, c.Failover, c.KeepAttempts = true, true, true
+	r, err := Run(t.Context(), c)
+	require.NoError(t, err)
+	require.Zero(t, r.Total.Counts.NotSent)
+	require.Positive(t, r.Total.Counts.Failovers)
+	require.Len(t, r.Attempts, 40)
+	_, http1 := protocols.Load("HTTP/1.1")
+	require.False(t, http1)
+}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -33,6 +34,9 @@
 	// Replayed counts reads that net/http sent again by itself after a connection
 	// was closed without an answer.
 	Replayed uint64 `json:"replayed"`
+	// Failovers counts connections that could not be opened and were replaced by
+	// one to another entry.
+	Failovers uint64 `json:"failovers"`
 	// Skipped counts arrivals beyond MaxInFlight; they were never sent.
 	Skipped uint64 `json:"skipped"`
 	// Answered to NotSent count requests by the outcome of the last attempt.
@@ -95,6 +99,26 @@
 	Key      string  `json:"key"`
 	Attempts int     `json:"attempts"`
 	Outcome  Outcome `json:"outcome"`
+	// Uncertain means that at least one attempt may have been executed.
+	Uncertain bool `json:"uncertain"`
+}
+
+// Attempt is one exchange with an entry.
+type Attempt struct {
+	Team    string  `json:"team"`
+	Method  string  `json:"method"`
+	Path    string  `json:"path"`
+	Entry   string  `json:"entry"`
+	Outcome Outcome `json:"outcome"`
+	// RanAs is the team that the answer names; empty on an open route without a team.
+	RanAs string `json:"ran_as,omitempty"`
+	// Code is the code of a refusal or failure.
+	Code string `json:"code,omitempty"`
+	// Detail explains an attempt that was not answered.
+	Detail string `json:"detail,omitempty"`
+	// Begun and Ended bound the attempt.
+	Begun time.Time `json:"begun"`
+	Ended time.Time `json:"ended"`
 }
 
 // Report is the result of a run.
@@ -109,21 +133,28 @@
 	Findings []string `json:"findings,omitempty"`
 	// Orders lists the orders if Config.KeepOrders is set.
 	Orders []Order `json:"orders,omitempty"`
+	// Codes counts attempts by the code of their refusal or failure.
+	Codes map[string]uint64 `json:"codes,omitempty"`
+	// Attempts lists every attempt if Config.KeepAttempts is set.
+	Attempts []Attempt `json:"attempts,omitempty"`
 }
 
 // tally collects results. It is safe for concurrent use.
 type tally struct {
-	mu         sync.Mutex
-	names      []string
-	counts     []Counts
-	latency    []*hdrhistogram.Histogram
-	findings   []string
-	keepOrders bool
-	orders     []Order
+	mu           sync.Mutex
+	names        []string
+	counts       []Counts
+	latency      []*hdrhistogram.Histogram
+	findings     []string
+	keepOrders   bool
+	orders       []Order
+	keepAttempts bool
+	attempts     []Attempt
+	codes        map[string]uint64
 }
 
 func newTally(c *Config) *tally {
-	t := &tally{keepOrders: c.KeepOrders, counts: make([]Counts, len(c.Teams))}
+	t := &tally{keepOrders: c.KeepOrders, keepAttempts: c.KeepAttempts, codes: make(map[string]uint64), counts: make([]Counts, len(c.Teams))}
 	for _, team := range c.Teams {
 		t.names = append(t.names, team.Name)
 		t.latency = append(t.latency, newHistogram())
@@ -141,8 +172,14 @@
 	t.counts[team].Skipped++
 }
 
+func (t *tally) failover(team int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[team].Failovers++
+}
+
 // attempt counts one attempt.
-func (t *tally) attempt(team int, r result, took time.Duration) {
+func (t *tally) attempt(team int, o *order, entry string, r result, begun, ended time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &t.counts[team]
@@ -150,17 +187,26 @@
 	c.Replayed += r.replays
 	switch r.outcome {
 	case Answered:
-		micros := min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros)
+		micros := min(max(ended.Sub(begun).Microseconds(), minLatencyMicros), maxLatencyMicros)
 		_ = t.latency[team].RecordValue(micros) // The value is within the range.
 	case Wrong:
 		c.WrongAttempts++
 	case Cut:
 		c.CutAttempts++
 	}
+	if r.refusal != "" {
+		t.codes[r.refusal]++
+	}
+	if t.keepAttempts {
+		t.attempts = append(t.attempts, Attempt{
+			Team: t.names[team], Method: o.kind.Method, Path: o.kind.Path, Entry: entry,
+			Outcome: r.outcome, RanAs: r.team, Code: r.refusal, Detail: r.detail, Begun: begun, Ended: ended,
+		})
+	}
 }
 
 // finish counts a request by its last attempt.
-func (t *tally) finish(team int, o *order, last result, attempts int) {
+func (t *tally) finish(team int, o *order, last result, attempts int, uncertain bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &t.counts[team]
@@ -171,7 +217,7 @@
 		t.findings = append(t.findings, fmt.Sprintf("%s %s %s: %s: %s", o.kind.Method, o.kind.Path, o.id, last.outcome, last.detail))
 	}
 	if t.keepOrders && o.kind.once() {
-		t.orders = append(t.orders, Order{ID: o.id, Key: o.key, Attempts: attempts, Outcome: last.outcome})
+		t.orders = append(t.orders, Order{ID: o.id, Key: o.key, Attempts: attempts, Outcome: last.outcome, Uncertain: uncertain})
 	}
 }
 
@@ -179,11 +225,11 @@
 func (t *tally) report(took time.Duration) *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := &Report{Seconds: took.Seconds(), Findings: t.findings, Orders: slices.Clone(t.orders)}
+	r := &Report{Seconds: took.Seconds(), Findings: t.findings, Orders: slices.Clone(t.orders), Attempts: slices.Clone(t.attempts), Codes: maps.Clone(t.codes)}
 	all := newHistogram()
 	for i, name := range t.names {
 		r.Teams = append(r.Teams, TeamReport{Team: name, Counts: t.counts[i], Latency: summarise(t.latency[i])})
-		r.Total.Counts.add(&t.counts[i])
+		r.Total.Counts.Add(&t.counts[i])
 		all.Merge(t.latency[i])
 	}
 	r.Total.Team = "total"
@@ -191,11 +237,13 @@
 	return r
 }
 
-func (c *Counts) add(o *Counts) {
+// Add adds the counts of another run.
+func (c *Counts) Add(o *Counts) {
 	c.Requests += o.Requests
 	c.Sent += o.Sent
 	c.Resent += o.Resent
 	c.Replayed += o.Replayed
+	c.Failovers += o.Failovers
 	c.Skipped += o.Skipped
 	c.Answered += o.Answered
 	c.NotRun += o.NotRun
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +38,10 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := newTransport(&c)
+	transport, err := newTransport(&c)
+	if err != nil {
+		return nil, err
+	}
 	defer transport.CloseIdleConnections()
 	r := &runner{
 		config: c,
@@ -58,14 +64,32 @@
 	return r.tally.report(time.Since(started)), nil
 }
 
-func newTransport(c *Config) *http.Transport {
-	return &http.Transport{
+func newTransport(c *Config) (*http.Transport, error) {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!c.HTTP2)
+	protocols.SetHTTP2(c.HTTP2)
+	protocols.SetUnencryptedHTTP2(c.HTTP2)
+	t := &http.Transport{
+		Protocols:           protocols,
 		DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
 		MaxConnsPerHost:     connectionsPerEntry,
 		MaxIdleConnsPerHost: connectionsPerEntry,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
 	}
+	if c.CAFile == "" {
+		return t, nil
+	}
+	pem, err := os.ReadFile(c.CAFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read certificate authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("%s holds no certificate", c.CAFile)
+	}
+	t.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}
+	return t, nil
 }
 
 // runTeam starts the requests of one team at their scheduled times. A request
@@ -106,20 +130,27 @@
 		r.tally.skip(team)
 		return
 	}
-	attempts := 0
+	attempts, failovers := 0, 0
+	uncertain := false
 	var last result
 	for {
 		begun := time.Now()
-		entry := r.config.Entries[(a.entry+attempts)%len(r.config.Entries)]
+		entry := r.config.Entries[(a.entry+attempts+failovers)%len(r.config.Entries)]
 		last = send(ctx, r.client, entry, o, r.config.Timeout)
+		if r.config.Failover && last.outcome == NotSent && failovers+1 < len(r.config.Entries) {
+			failovers++
+			r.tally.failover(team)
+			continue
+		}
 		attempts++
-		r.tally.attempt(team, last, time.Since(begun))
+		r.tally.attempt(team, o, entry, last, begun, time.Now())
+		uncertain = uncertain || last.outcome.uncertain()
 		if !o.kind.once() || !mayResend(last) || attempts > r.config.Resends || interrupted(arrivals) {
 			break
 		}
 		time.Sleep(r.config.ResendDelay)
 	}
-	r.tally.finish(team, o, last, attempts)
+	r.tally.finish(team, o, last, attempts, uncertain)
 }
 
 // mayResend reports whether a caller repeats its order: it had no answer, or it
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -43,7 +43,7 @@
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
 	if err := srv.Shutdown(stopCtx); err != nil {
-		srv.Close() //nolint:errcheck // Shutdown has already failed with the error to report.
+		srv.Close() // Shutdown has already failed with the error to report.
 		return errors.Wrap(err, "requests in flight were cut")
 	}
 	return nil
