Keep a request away from a zone after one refusal there

Cause: make demo saw one GET of 748 fail with 503 out-of-service while cymru-south-a moved. Around the change the entry and the owners of the zone learn of it up to 0.6 s apart; the request spent its three attempts on the three owners of that zone, although six owners in other zones served. Ruled out: capacity (no queue refusal) and stale load (the entry leaves out zones that its own configuration has out).

Change: after an owner answers that it is out of service, choose prefers owners of other zones for the rest of the request.

TestRequestPath fails with 429 in 1 of 4 runs with and without this change.

Conclusion: the zone move no longer depends on the order in which nodes learn.

--- a/node/forward.go
+++ b/node/forward.go
@@ -221,13 +221,25 @@
 }
 
 // choose picks the owner for the next attempt by two random choices on load,
-// preferring the own availability zone on ties. It returns nil if none is left.
-func (f *forwarder) choose(owners []*ownerRef, service string, tried map[string]bool, now time.Time) *ownerRef {
+// preferring the own availability zone on ties. Owners in an avoided zone are
+// chosen only when no other is usable. It returns nil if none is left.
+func (f *forwarder) choose(owners []*ownerRef, service string, tried, avoided map[string]bool, now time.Time) *ownerRef {
 	eligible := make([]*ownerRef, 0, len(owners))
+	elsewhere := make([]*ownerRef, 0, len(owners))
 	for _, o := range owners {
-		if !tried[o.node] && f.loads.usable(o.node, service, now) {
-			eligible = append(eligible, o)
+		if tried[o.node] || !f.loads.usable(o.node, service, now) {
+			continue
 		}
+		eligible = append(eligible, o)
+		if !avoided[o.zone] {
+			elsewhere = append(elsewhere, o)
+		}
+	}
+	// While a zone leaves or returns, this entry may learn of it before or after
+	// the owners there. One refusal then stands for the zone; otherwise all
+	// attempts of a request could end in it.
+	if len(elsewhere) > 0 {
+		eligible = elsewhere
 	}
 	if len(eligible) == 0 {
 		return f.lastResort(owners, tried)
--- a/node/perform.go
+++ b/node/perform.go
@@ -41,9 +41,10 @@
 	n.retries.request(r.service)
 	owners := snap.owners[r.service]
 	tried := make(map[string]bool, maxAttempts)
+	avoided := make(map[string]bool)
 	var last *verdict.Error
 	for {
-		o := n.forwarder.choose(owners, r.service, tried, time.Now())
+		o := n.forwarder.choose(owners, r.service, tried, avoided, time.Now())
 		if o == nil {
 			return nil, noOwner(last)
 		}
@@ -58,6 +59,9 @@
 		if !n.mayRetry(ctx, r, last, o, len(tried)) {
 			return nil, last
 		}
+		if n.forwarder.loads.outOfService(o.node, r.service) {
+			avoided[o.zone] = true
+		}
 	}
 }
 
