--- a/node/history_test.go
+++ b/node/history_test.go
@@ -31,7 +31,7 @@
 
 // history is a randomised run: traffic against a fleet while faults come and go.
 type history struct {
-	*fleet
+	*virtualFleet
 	rng   *rand.Rand
 	ended chan struct{}
 	wg    sync.WaitGroup
@@ -51,8 +51,8 @@
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			runFleet(t, historyNodes, func(f *fleet) {
-				h := &history{fleet: f, rng: rand.New(rand.NewPCG(seed, 1)), ended: make(chan struct{}), outcomes: make(map[string]int)}
+			runFleet(t, historyNodes, func(f *virtualFleet) {
+				h := &history{virtualFleet: f, rng: rand.New(rand.NewPCG(seed, 1)), ended: make(chan struct{}), outcomes: make(map[string]int)}
 				h.run()
 				require.Empty(t, h.problems)
 				t.Log(h.outcomes)
@@ -130,9 +130,9 @@
 }
 
 func (h *history) backendFault(i int, f standin.Faults) func() {
-	h.fleet.mu.Lock()
+	h.virtualFleet.mu.Lock()
 	b := h.backends[nodeName(i)]
-	h.fleet.mu.Unlock()
+	h.virtualFleet.mu.Unlock()
 	if b == nil {
 		return func() {}
 	}
--- a/node/perform.go
+++ b/node/perform.go
@@ -47,8 +47,9 @@
 	n.retries.request(r.service)
 	owners := snap.owners[r.service]
 	tried := make(map[string]bool, maxAttempts)
+	avoided := make(map[string]bool)
 	next := func() *ownerRef {
-		o := n.forwarder.choose(owners, r.service, tried, time.Now())
+		o := n.forwarder.choose(owners, r.service, tried, avoided, time.Now())
 		if o != nil {
 			tried[o.node] = true
 		}
@@ -68,6 +69,9 @@
 		if !n.mayRetry(ctx, r, verdict.From(err), o, len(tried)) {
 			return nil, failure
 		}
+		if n.forwarder.loads.outOfService(o.node, r.service) {
+			avoided[o.zone] = true
+		}
 	}
 }
 
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -30,9 +30,9 @@
 	"trefoildock.example/verdict"
 )
 
-// fleet runs nodes and backend servers in one process with a virtual clock and a
+// virtualFleet runs nodes and backend servers in one process with a virtual clock and a
 // network in memory. It exercises the code of the node unchanged.
-type fleet struct {
+type virtualFleet struct {
 	t        *testing.T
 	net      *memnet
 	platform *memory.Store
@@ -59,14 +59,14 @@
 
 // runFleet runs a test against a fleet of n nodes in three zones whose
 // configuration is in force.
-func runFleet(t *testing.T, n int, f func(*fleet)) {
+func runFleet(t *testing.T, n int, f func(*virtualFleet)) {
 	t.Helper()
 	// yamux keeps timers in a sync.Pool. A timer must not leave its virtual clock,
 	// and two collections empty the pool.
 	defer runtime.GC()
 	defer runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
-		fl := newFleet(t)
+		fl := newVirtualFleet(t)
 		defer fl.close()
 		for i := range n {
 			fl.start(i)
@@ -78,8 +78,8 @@
 	})
 }
 
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{
+func newVirtualFleet(t *testing.T) *virtualFleet {
+	f := &virtualFleet{
 		t: t, net: newMemnet(), platform: memory.New(), nodes: make(map[string]*Node),
 		backends: make(map[string]*vmBackend), keys: make(map[string]string), executions: make(map[string]int),
 	}
@@ -92,14 +92,14 @@
 func nodeIP(i int) string   { return fmt.Sprintf("127.0.1.%d", i+1) }
 
 // start starts node i and the backend server beside it.
-func (f *fleet) start(i int) {
+func (f *virtualFleet) start(i int) {
 	f.startNode(i)
 	service := []string{"catalogue", "orders"}[i%2]
 	config := standin.Config{Name: fmt.Sprintf("%s-%d", service, i), Service: service, ServiceTime: 2 * time.Millisecond, Seed: uint64(i)}
 	f.startBackend(i, config)
 }
 
-func (f *fleet) startNode(i int) {
+func (f *virtualFleet) startNode(i int) {
 	ip := nodeIP(i)
 	s := settings.Default()
 	s.Node = settings.Node{Name: nodeName(i), VM: "vm-" + nodeName(i), Zone: zones[i%len(zones)], Region: "r", Cluster: "test"}
@@ -119,14 +119,14 @@
 }
 
 // node returns node i, or nil if it does not run.
-func (f *fleet) node(name string) *Node {
+func (f *virtualFleet) node(name string) *Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.nodes[name]
 }
 
 // running returns the running nodes.
-func (f *fleet) running() []*Node {
+func (f *virtualFleet) running() []*Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]*Node, 0, len(f.nodes))
@@ -138,7 +138,7 @@
 
 // startBackend serves a stand-in backend server on the memory network and
 // announces it every 500 ms.
-func (f *fleet) startBackend(i int, config standin.Config) {
+func (f *virtualFleet) startBackend(i int, config standin.Config) {
 	server, err := standin.New(config)
 	require.NoError(f.t, err)
 	address := nodeIP(i) + ":9000"
@@ -167,7 +167,7 @@
 }
 
 // kill ends a node and its backend server without notice, as the loss of a VM does.
-func (f *fleet) kill(i int) {
+func (f *virtualFleet) kill(i int) {
 	name := nodeName(i)
 	f.killBackend(name)
 	f.mu.Lock()
@@ -178,7 +178,7 @@
 }
 
 // stop shuts a node down gracefully.
-func (f *fleet) stop(i int) error {
+func (f *virtualFleet) stop(i int) error {
 	name := nodeName(i)
 	err := f.node(name).Stop(context.Background())
 	f.mu.Lock()
@@ -188,7 +188,7 @@
 	return err
 }
 
-func (f *fleet) killBackend(name string) {
+func (f *virtualFleet) killBackend(name string) {
 	f.mu.Lock()
 	b := f.backends[name]
 	delete(f.backends, name)
@@ -207,7 +207,7 @@
 }
 
 // executed returns how often the request with the key was executed.
-func (f *fleet) executed(key string) int {
+func (f *virtualFleet) executed(key string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	total := f.executions[key]
@@ -217,7 +217,7 @@
 	return total
 }
 
-func (f *fleet) close() {
+func (f *virtualFleet) close() {
 	f.client.CloseIdleConnections()
 	for _, n := range f.running() {
 		f.killBackend(n.settings.Node.Name)
@@ -226,7 +226,7 @@
 	time.Sleep(2 * time.Minute) // Ends delayed closes of sessions and streams.
 }
 
-func (f *fleet) all(condition func(*Node) bool) bool {
+func (f *virtualFleet) all(condition func(*Node) bool) bool {
 	for _, n := range f.running() {
 		if !condition(n) {
 			return false
@@ -236,7 +236,7 @@
 }
 
 // eventually waits in virtual time.
-func (f *fleet) eventually(what string, condition func() bool) {
+func (f *virtualFleet) eventually(what string, condition func() bool) {
 	f.t.Helper()
 	for range 6000 {
 		if condition() {
@@ -248,7 +248,7 @@
 }
 
 // applyRules commits rules with one key per team and waits until they are in force.
-func (f *fleet) applyRules(text string) {
+func (f *virtualFleet) applyRules(text string) {
 	f.t.Helper()
 	for line := range strings.Lines(text) {
 		if name, ok := strings.CutPrefix(line, "team "); ok {
@@ -270,7 +270,7 @@
 }
 
 // change commits a change of the configuration and returns its version.
-func (f *fleet) change(edit func(*rules.Config) *rules.Config) uint64 {
+func (f *virtualFleet) change(edit func(*rules.Config) *rules.Config) uint64 {
 	f.t.Helper()
 	current, err := f.store.LoadConfig(f.t.Context())
 	require.NoError(f.t, err)
@@ -283,7 +283,7 @@
 }
 
 // addLine commits one more rule.
-func (f *fleet) addLine(line string) uint64 {
+func (f *virtualFleet) addLine(line string) uint64 {
 	f.t.Helper()
 	return f.change(func(c *rules.Config) *rules.Config {
 		next, err := c.Apply(rules.Delta{Added: []string{line}})
@@ -294,7 +294,7 @@
 
 // send sends a request to the entry of node i. err is set if the connection
 // broke; the caller then knows nothing about the request.
-func (f *fleet) send(i int, method, path, body string, headers ...string) (reply, error) {
+func (f *virtualFleet) send(i int, method, path, body string, headers ...string) (reply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+net.JoinHostPort(nodeIP(i), "8080")+path, strings.NewReader(body))
@@ -315,7 +315,7 @@
 }
 
 // order sends an order with an idempotency key.
-func (f *fleet) order(i int, key string) (reply, error) {
+func (f *virtualFleet) order(i int, key string) (reply, error) {
 	return f.send(i, http.MethodPost, "/orders", orderBody(key), "Authorization", "Bearer "+f.keys["walkers"], "Idempotency-Key", key)
 }
 
@@ -334,7 +334,7 @@
 // Guards against a break of the request path under the virtual clock, on which
 // the tests of failures build.
 func TestVirtualRequestPath(t *testing.T) {
-	runFleet(t, 6, func(f *fleet) {
+	runFleet(t, 6, func(f *virtualFleet) {
 		for i := range 6 {
 			r, err := f.send(i, http.MethodGet, "/catalogue/sticks", "")
 			require.NoError(t, err)
