Let the test of a leaving caller reach a blocked write

Cause: removing closeWhenDone from execute.go left TestCallerLeaves green, because the caller left before the owner was blocked in a write to the entry.

Change: in the streaming case the caller leaves only after the backend server has stalled.

--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -237,14 +237,20 @@
 		resp, err := c.Get("http://" + f.address + "/shop/x")
 		require.NoError(t, err)
 		defer resp.Body.Close()
-		last := int64(-1)
-		eventually(t, func() bool { // Until nothing more is written for a while.
-			time.Sleep(200 * time.Millisecond)
-			now := written.Load()
-			stalled := now == last
-			last = now
-			return stalled
-		}, "the backend server is stalled or done")
-		require.Less(t, last, int64(bound))
+		require.Less(t, untilStalled(t, &written), int64(bound))
 	})
 }
+
+// untilStalled waits until a count no longer grows and returns it.
+func untilStalled(t *testing.T, count *atomic.Int64) int64 {
+	t.Helper()
+	last := int64(-1)
+	eventually(t, func() bool {
+		time.Sleep(200 * time.Millisecond)
+		now := count.Load()
+		stalled := now == last
+		last = now
+		return stalled
+	}, "nothing more is written")
+	return last
+}
--- a/node/once_test.go
+++ b/node/once_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,12 +157,15 @@
 // taken.
 func TestCallerLeaves(t *testing.T) {
 	for _, stream := range []bool{false, true} {
+		var written atomic.Int64
 		started, gone := make(chan struct{}, 10), make(chan struct{}, 10)
 		backend := newHandlerBackend(t, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(verdict.RequestIDHeader, r.Header.Get(verdict.RequestIDHeader))
 			started <- struct{}{}
 			for stream && r.Context().Err() == nil {
-				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				n, err := w.Write(make([]byte, 64<<10))
+				written.Add(int64(n))
+				if err != nil {
 					break
 				}
 			}
@@ -171,7 +175,13 @@
 		f := newFleet(t, backend)
 		bothProtocols(t, func(t *testing.T, c *http.Client) {
 			ctx, cancel := context.WithCancel(t.Context())
-			go func() { <-started; cancel() }()
+			go func() {
+				<-started
+				if stream { // The owner is then blocked in a write to the entry.
+					untilStalled(t, &written)
+				}
+				cancel()
+			}()
 			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.address+"/once/x", http.NoBody)
 			require.NoError(t, err)
 			resp, err := c.Do(req)
