--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,9 @@
 test: ## Run all tests.
 	go test -timeout 10m $(PACKAGES)
 
+slopes: build ## Measure how cost grows with size (docs/CAPACITY.md); about 2 minutes.
+	go run ./measure/cmd/slopes --output .run/slopes.json
+
 generate: $(BUF) $(PROTOC_GEN_GO) ## Regenerate the protobuf code.
 	cd wire && PATH=$(TOOLS):$$PATH $(BUF) generate
 
