Let a deputy stand in for the home of a rate; confirm refusals of resends

A refused request with an idempotency key now asks the home first; it claims not-run only if the home confirms it, and returns a stored answer if there is one.

A refused take now waits at least 5 ms.

Cause 3: rates below 1/s became 0, because limits counted whole requests per second. They now count thousandths.

The deputy, the second node in the rank of a partition, answers takes while the home is lost or recovering.

--- a/node/entry.go
+++ b/node/entry.go
@@ -97,7 +97,7 @@
 		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusNotFound, Code: "no-route", Detail: "no route matches the request"}
 	}
 	cred := credentialsOf(c.r)
-	team, err := e.authenticate(snap, route, &cred)
+	team, err := e.authenticate(snap, route, c.r, &cred)
 	if err != nil {
 		return err
 	}
@@ -111,14 +111,20 @@
 	deadline := c.start.Add(timeout)
 	ctx, cancel := context.WithDeadline(c.r.Context(), deadline)
 	defer cancel()
-	if err := e.admit(ctx, team); err != nil {
-		return err
+	refusal := e.admit(ctx, team)
+	if refusal != nil && !claimable(route, c.r) {
+		return refusal
 	}
 	req, err := e.newRequest(c, deadline, route, team, &cred)
 	if err != nil {
 		return err
 	}
-	a, err := e.node.perform(ctx, snap, req)
+	var a *answer
+	if refusal != nil {
+		a, err = e.node.refuseClaimed(ctx, req, refusal)
+	} else {
+		a, err = e.node.perform(ctx, snap, req)
+	}
 	if err != nil {
 		return err
 	}
@@ -126,9 +132,14 @@
 	return respond(c.w, c.r, a, c.id)
 }
 
+// claimable reports whether the request carries an idempotency key that counts.
+func claimable(route *rules.Route, r *http.Request) bool {
+	return route.Repeat == rules.RepeatOnce && r.Header.Get(verdict.IdempotencyKeyHeader) != ""
+}
+
 // authenticate returns the team of the request, or nil on an open route
 // without a valid key.
-func (e *entry) authenticate(snap *snapshot, route *rules.Route, c *credentials) (*rules.Team, error) {
+func (e *entry) authenticate(snap *snapshot, route *rules.Route, r *http.Request, c *credentials) (*rules.Team, error) {
 	open := route.Access == rules.AccessOpen
 	if c.ambiguous {
 		return nil, badRequest("ambiguous-key", "the request carries two different keys")
@@ -141,7 +152,7 @@
 			return nil, nil // Whose key it is cannot be told, so the request runs without a team.
 		}
 		e.metrics.notFresh.Inc(1)
-		return nil, verdict.Refuse("not-fresh", "this node cannot tell whether its configuration is current", time.Second)
+		return nil, notFresh(claimable(route, r))
 	}
 	if team := teamOf(snap.config, c.key); team != nil || open {
 		return team, nil
@@ -150,6 +161,16 @@
 	return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusUnauthorized, Code: "unauthorized", Detail: "the request carries no valid key"}
 }
 
+// notFresh refuses a request at a node that may be outdated. If the request can
+// be a resend, an earlier one with its idempotency key may have run.
+func notFresh(claimable bool) error {
+	err := verdict.Refuse("not-fresh", "this node cannot tell whether its configuration is current", time.Second)
+	if claimable {
+		err.Verdict, err.Status = verdict.MayHaveRun, http.StatusBadGateway
+	}
+	return err
+}
+
 // teamOf returns the team whose key this is, or nil.
 func teamOf(c *rules.Config, key string) *rules.Team {
 	if key == "" {
--- a/node/home_rates.go
+++ b/node/home_rates.go
@@ -12,12 +12,26 @@
 // answerTake spends tokens of the free fraction of a team's rate.
 func (h *homes) answerTake(t *wire.Take) *wire.Answer {
 	answer := &wire.TakeAnswer{}
-	if team, ok := h.node.snapshot.Load().config.Teams[t.GetTeam()]; ok {
+	team, ok := h.node.snapshot.Load().config.Teams[t.GetTeam()]
+	switch {
+	case !ok:
+		answer.RetryAfterUs = ratelimit.MaxWait.Microseconds() // This node may lack a change.
+	case t.GetDeputy() || !h.recovered(t.GetTeam()):
+		h.node.rates.takeForOther(t, limitOf(&team), answer)
+	default:
 		h.take(t, limitOf(&team), answer)
 	}
 	return &wire.Answer{Body: &wire.Answer_Take{Take: answer}}
 }
 
+// recovered reports whether the ledger knows all shares of the team. Until then
+// the node's own standby share serves in its place.
+func (h *homes) recovered(team string) bool {
+	h.ledgerMu.Lock()
+	defer h.ledgerMu.Unlock()
+	return h.ledger.Recovered(team)
+}
+
 // take reads the clock under the locks: a pause before it cannot spend a token
 // of a home that has stopped being fresh.
 func (h *homes) take(t *wire.Take, limit ratelimit.Limit, answer *wire.TakeAnswer) {
@@ -103,5 +117,5 @@
 
 // limitOf converts a team's promise.
 func limitOf(t *rules.Team) ratelimit.Limit {
-	return ratelimit.Limit{Rate: uint32(t.Rate.PerSecond()), Burst: uint32(t.Burst)}
+	return ratelimit.Limit{Rate: uint64(t.Rate.PerSecond() * ratelimit.PerSecond), Burst: uint32(t.Burst)}
 }
--- a/node/homes.go
+++ b/node/homes.go
@@ -41,6 +41,12 @@
 	// member version from which they count.
 	reportTo map[string]uint64
 
+	// deputies caches the second node of partitions; it is valid for deputyOf's
+	// member version.
+	deputyMu      sync.Mutex
+	deputies      map[int]string
+	deputyVersion uint64
+
 	ledgerMu sync.Mutex
 	ledger   *ratelimit.Ledger
 
@@ -251,6 +257,27 @@
 	return name
 }
 
+// deputyOf returns the node that stands in for the home of a team's rate, or "".
+func (h *homes) deputyOf(team string) string {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.table == nil {
+		return ""
+	}
+	h.deputyMu.Lock()
+	defer h.deputyMu.Unlock()
+	if h.deputies == nil || h.deputyVersion != h.table.Version() {
+		h.deputies, h.deputyVersion = make(map[int]string), h.table.Version()
+	}
+	partition := placement.Partition(kindRate, team)
+	name, known := h.deputies[partition]
+	if !known {
+		name, _ = h.table.Second(partition)
+		h.deputies[partition] = name
+	}
+	return name
+}
+
 // homeOfPartition returns the home of a partition, or "" if there is none.
 func (h *homes) homeOfPartition(partition int) string {
 	h.mu.RLock()
--- a/node/perform.go
+++ b/node/perform.go
@@ -133,6 +133,18 @@
 	}
 }
 
+// refuseClaimed settles a refusal of a request with an idempotency key. An
+// earlier request with the key may have run, so "not run" is claimed only after
+// the home has confirmed it. A stored answer is returned in place of the refusal.
+func (n *Node) refuseClaimed(ctx context.Context, r *request, refusal error) (*answer, error) {
+	stored, err := n.claim(ctx, r)
+	if err != nil || stored != nil {
+		return stored, err
+	}
+	n.releaseClaim(r)
+	return nil, refusal
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/node/rates.go
+++ b/node/rates.go
@@ -73,25 +73,76 @@
 	return f(r.holder, now, team, limit), nil
 }
 
-// takeAtHome asks the home for one token. A failed call may have spent the
-// token; that only lowers what the team gets, never raises it.
+// takeAtHome asks the home, and then its deputy, for one token. A failed call
+// may have spent the token; that only lowers what the team gets, never raises it.
 func (r *rates) takeAtHome(ctx context.Context, team string, start time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, start.Add(ratelimit.MaxWait))
 	defer cancel()
-	a, err := r.node.homes.callHome(ctx, kindRate, team, &wire.Call{Body: &wire.Call_Take{Take: &wire.Take{Team: team, Tokens: 1}}})
-	if err == nil && a.GetTake().GetGranted() > 0 {
+	granted, atHome := r.take(ctx, r.node.homes.homeOf(kindRate, team), team, false)
+	if granted {
 		return true
 	}
-	retryAfter := ratelimit.TickInterval
-	if err == nil && !a.GetTake().GetNotHome() {
-		retryAfter = time.Duration(a.GetTake().GetRetryAfterUs()) * time.Microsecond
+	granted, atDeputy := r.take(ctx, r.node.homes.deputyOf(team), team, true)
+	if granted {
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.holder.TakeRefused(time.Now(), team, retryAfter)
+	r.holder.TakeRefused(time.Now(), team, max(min(atHome, atDeputy), minTakeInterval))
 	return false
 }
 
+const (
+	// takeTimeout bounds one question for a token. It leaves time to ask the
+	// deputy while the request still waits.
+	takeTimeout = 100 * time.Millisecond
+	// minTakeInterval keeps refused requests from asking in a tight loop.
+	minTakeInterval = 5 * time.Millisecond
+)
+
+// take asks one node for a token. Without one it returns the time after which
+// to ask again.
+func (r *rates) take(ctx context.Context, node, team string, deputy bool) (granted bool, retryAfter time.Duration) {
+	if node == "" {
+		return false, ratelimit.TickInterval
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	a, err := r.node.homes.call(ctx, node, &wire.Call{Body: &wire.Call_Take{Take: &wire.Take{Team: team, Tokens: 1, Deputy: deputy}}})
+	if err != nil || a.GetTake() == nil || a.GetTake().GetNotHome() {
+		return false, ratelimit.TickInterval
+	}
+	return a.GetTake().GetGranted() > 0, time.Duration(a.GetTake().GetRetryAfterUs()) * time.Microsecond
+}
+
+// takeForOther spends a token of this node's standby share for another entry.
+func (r *rates) takeForOther(t *wire.Take, limit ratelimit.Limit, answer *wire.TakeAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.node.fresh(now) {
+		answer.NotHome = true
+		return
+	}
+	granted, retryAfter := r.holder.Take(now, t.GetTeam(), t.GetTokens(), limit)
+	if granted {
+		answer.Granted = t.GetTokens()
+	}
+	answer.RetryAfterUs = retryAfter.Microseconds()
+}
+
+// appointDeputies tells the holder for which teams this node stands in.
+func (r *rates) appointDeputies(now time.Time) {
+	self := r.node.settings.Node.Name
+	for name, team := range r.node.snapshot.Load().config.Teams {
+		deputy := r.node.homes.deputyOf(name) == self ||
+			r.node.homes.homeOf(kindRate, name) == self && !r.node.homes.recovered(name)
+		r.mu.Lock()
+		r.holder.SetDeputy(now, name, limitOf(&team), deputy)
+		r.mu.Unlock()
+	}
+}
+
 // run keeps the shares in line with demand.
 func (r *rates) run(ctx context.Context) {
 	ticker := time.NewTicker(ratelimit.TickInterval)
@@ -102,6 +153,7 @@
 			return
 		case <-ticker.C:
 			r.node.homes.tickLedger(time.Now())
+			r.appointDeputies(time.Now())
 			r.report(ctx, time.Now())
 		}
 	}
@@ -165,7 +217,7 @@
 func reportToWire(r ratelimit.Report) *wire.ShareReport {
 	out := &wire.ShareReport{Holder: r.Holder, Incarnation: r.Incarnation, Term: r.Term}
 	for _, s := range r.Shares {
-		out.Shares = append(out.Shares, &wire.ShareState{Team: s.Team, Sequence: s.Sequence, SharePpm: s.Share, WantedPpm: s.Wanted})
+		out.Shares = append(out.Shares, &wire.ShareState{Team: s.Team, Sequence: s.Sequence, SharePpm: s.Share, WantedPpm: s.Wanted, StandbyPpm: s.Standby, Deputy: s.Deputy})
 	}
 	return out
 }
@@ -173,7 +225,7 @@
 func reportFromWire(r *wire.ShareReport) ratelimit.Report {
 	out := ratelimit.Report{Holder: r.GetHolder(), Incarnation: r.GetIncarnation(), Term: r.GetTerm()}
 	for _, s := range r.GetShares() {
-		out.Shares = append(out.Shares, ratelimit.ShareState{Team: s.GetTeam(), Sequence: s.GetSequence(), Share: s.GetSharePpm(), Wanted: s.GetWantedPpm()})
+		out.Shares = append(out.Shares, ratelimit.ShareState{Team: s.GetTeam(), Sequence: s.GetSequence(), Share: s.GetSharePpm(), Wanted: s.GetWantedPpm(), Standby: s.GetStandbyPpm(), Deputy: s.GetDeputy()})
 	}
 	return out
 }
@@ -181,7 +233,7 @@
 func answerToWire(a ratelimit.Answer) *wire.ShareAnswer {
 	out := &wire.ShareAnswer{Incarnation: a.Incarnation}
 	for _, s := range a.Shares {
-		out.Shares = append(out.Shares, &wire.NewShare{Team: s.Team, Sequence: s.Sequence, SharePpm: s.Share})
+		out.Shares = append(out.Shares, &wire.NewShare{Team: s.Team, Sequence: s.Sequence, SharePpm: s.Share, StandbyPpm: s.Standby})
 	}
 	return out
 }
@@ -189,7 +241,7 @@
 func answerFromWire(a *wire.ShareAnswer) ratelimit.Answer {
 	out := ratelimit.Answer{Incarnation: a.GetIncarnation()}
 	for _, s := range a.GetShares() {
-		out.Shares = append(out.Shares, ratelimit.NewShare{Team: s.GetTeam(), Sequence: s.GetSequence(), Share: s.GetSharePpm()})
+		out.Shares = append(out.Shares, ratelimit.NewShare{Team: s.GetTeam(), Sequence: s.GetSequence(), Share: s.GetSharePpm(), Standby: s.GetStandbyPpm()})
 	}
 	return out
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -273,3 +273,21 @@
 	slices.Sort(out)
 	return out
 }
+
+// Second returns the node that follows the home in the rank of a partition; ok
+// is false if there are fewer than two nodes. It visits every node.
+func (t *Table) Second(partition int) (node string, ok bool) {
+	second := home{node: nobody}
+	for _, i := range t.index {
+		if i == t.homes[partition].node {
+			continue
+		}
+		if s := score(t.hashes[i], partition); t.beats(s, i, &second) {
+			second.score, second.node = s, i
+		}
+	}
+	if second.node == nobody {
+		return "", false
+	}
+	return t.nodes[second.node], true
+}
--- a/placement/table_test.go
+++ b/placement/table_test.go
@@ -230,3 +230,18 @@
 		})
 	}
 }
+
+// Guards against a deputy that is not the next home.
+func TestSecondBecomesHome(t *testing.T) {
+	for p := range 200 {
+		table := New(1, names(9))
+		second, ok := table.Second(p)
+		require.True(t, ok)
+		home, _ := table.Home(p)
+		require.NoError(t, table.Apply(Change{Remove, home}, 2))
+		next, _ := table.Home(p)
+		require.Equal(t, next, second)
+	}
+	_, ok := New(1, names(1)).Second(0)
+	require.False(t, ok)
+}
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -155,7 +155,7 @@
 func (a *account) reserve(limit Limit) uint64 {
 	takes := 0.0
 	if limit.Rate > 0 {
-		takes = min(takeHeadroom*a.takes/float64(limit.Rate)*Whole, maxTakeReserve)
+		takes = min(takeHeadroom*a.takes/limit.perSecond()*Whole, maxTakeReserve)
 	}
 	return max(uint64(limit.Reserve()), uint64(takes))
 }
--- a/ratelimit/bench_test.go
+++ b/ratelimit/bench_test.go
@@ -39,7 +39,7 @@
 // TestSmallClockStep bounds what a clock step below MaxClockStep can create:
 // the refill of that step and never more than the burst of the share.
 func TestSmallClockStep(t *testing.T) {
-	now, limit := epoch, Limit{Rate: 1000, Burst: 100}
+	now, limit := epoch, Limit{Rate: 1000 * PerSecond, Burst: 100}
 	h, l := NewHolder("node", "1"), newHome(epoch)
 	grow(h, l, &now, limit, "team")
 	drain := func() (n int) {
@@ -57,7 +57,7 @@
 }
 
 func BenchmarkAllow(b *testing.B) {
-	now, limit := epoch, Limit{Rate: 1e6, Burst: 1e6}
+	now, limit := epoch, Limit{Rate: 1e6 * PerSecond, Burst: 1e6}
 	h := NewHolder("node", "1")
 	grow(h, newHome(epoch), &now, limit, "team")
 	for b.Loop() {
@@ -68,7 +68,7 @@
 
 func BenchmarkReportAtHome(b *testing.B) {
 	const teams = 100
-	now, limit := epoch, Limit{Rate: 1000, Burst: 1000}
+	now, limit := epoch, Limit{Rate: 1000 * PerSecond, Burst: 1000}
 	h, l := NewHolder("node", "1"), newHome(epoch)
 	var names []string
 	for i := range teams {
@@ -98,7 +98,7 @@
 		runtime.ReadMemStats(&before)
 		h := NewHolder("node", "1")
 		for i := range teams {
-			h.Allow(epoch, fmt.Sprintf("team-%06d", i), Limit{Rate: 1, Burst: 1})
+			h.Allow(epoch, fmt.Sprintf("team-%06d", i), Limit{Rate: 1 * PerSecond, Burst: 1})
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -9,13 +9,17 @@
 // never is a wait that does not end without a larger share.
 const never = time.Duration(math.MaxInt64)
 
+// refillUnit is the number of nanoseconds times thousandths of a micro-token
+// per second that make one micro-token.
+const refillUnit = PerSecond * uint64(time.Second)
+
 // bucket is a token bucket for a share of a limit. Levels are exact integers,
 // because rounding up by a fraction at each refill would add up to tokens that
 // nobody promised.
 type bucket struct {
 	// level in micro-tokens.
 	level uint64
-	// rest is the part of the refill below one micro-token, in 1e-9 of it.
+	// rest is the part of the refill below one micro-token, in 1/refillUnit of it.
 	rest uint64
 	// at is the credited time of the last refill.
 	at time.Duration
@@ -26,14 +30,14 @@
 // changes.
 func (b *bucket) refill(at time.Duration, l Limit, share uint32) {
 	if at > b.at {
-		hi, lo := bits.Mul64(uint64(l.Rate)*uint64(share), uint64(at-b.at))
+		hi, lo := bits.Mul64(l.Rate*uint64(share), uint64(at-b.at))
 		lo, carry := bits.Add64(lo, b.rest, 0)
 		hi += carry
-		if hi >= uint64(time.Second) {
+		if hi >= refillUnit {
 			b.level, b.rest = math.MaxUint64, 0
 		} else {
 			var earned uint64
-			earned, b.rest = bits.Div64(hi, lo, uint64(time.Second))
+			earned, b.rest = bits.Div64(hi, lo, refillUnit)
 			b.level, carry = bits.Add64(b.level, earned, 0)
 			if carry != 0 {
 				b.level = math.MaxUint64
@@ -68,11 +72,11 @@
 	if b.level >= cost {
 		return 0
 	}
-	perSecond := uint64(l.Rate) * uint64(share)
+	perSecond := l.perSecond() * float64(share)
 	if perSecond == 0 || uint64(l.Burst)*uint64(share) < cost {
 		return never
 	}
-	seconds := float64(cost-b.level) / float64(perSecond)
+	seconds := float64(cost-b.level) / perSecond
 	if seconds > float64(time.Hour/time.Second) {
 		return never
 	}
--- a/ratelimit/faults_test.go
+++ b/ratelimit/faults_test.go
@@ -91,7 +91,7 @@
 			t.Run(trace, func(t *testing.T) {
 				t.Parallel()
 				f := newFleet(seed, map[string]Limit{
-					"large": {Rate: 100, Burst: 50}, "small": {Rate: 40, Burst: 3}, "tiny": {Rate: 5, Burst: 1},
+					"large": {Rate: 100 * PerSecond, Burst: 50}, "small": {Rate: 40 * PerSecond, Burst: 3}, "tiny": {Rate: 5 * PerSecond, Burst: 1},
 				})
 				f.late = 0.1
 				f.traffic(2, func(team, node int, _ time.Duration) float64 { return skewed(team, node+f.shift, 0) })
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -367,7 +367,7 @@
 	for index, team := range slices.Sorted(mapKeys(f.limits)) {
 		var arrive func()
 		arrive = func() {
-			f.after(time.Duration(f.r.ExpFloat64()/(load*float64(f.limits[team].Rate))*1e9), arrive)
+			f.after(time.Duration(f.r.ExpFloat64()/(load*f.limits[team].perSecond())*1e9), arrive)
 			left := f.r.Float64()
 			for i, n := range f.nodes {
 				if left -= weight(index, i, f.now); left < 0 {
@@ -399,7 +399,7 @@
 		slices.Sort(times)
 		limit, lowest := f.limits[team], math.Inf(1)
 		for i, at := range times {
-			earned := float64(limit.Rate) * at.Seconds()
+			earned := limit.perSecond() * at.Seconds()
 			lowest = min(lowest, float64(i)-earned)
 			require.LessOrEqual(t, float64(i+1)-earned-lowest, float64(limit.Burst)+1e-6,
 				"%s: team %s at %v admitted %d", trace, team, at, i+1)
@@ -419,6 +419,6 @@
 	f.runUntil(f.now + 10*time.Second)
 	for team, limit := range f.limits {
 		got := len(f.admitted[team]) - before[team]
-		require.Greater(t, float64(got), 0.8*10*float64(limit.Rate), "%s: team %s", trace, team)
+		require.Greater(t, float64(got), 0.8*10*limit.perSecond(), "%s: team %s", trace, team)
 	}
 }
--- a/ratelimit/ledger_test.go
+++ b/ratelimit/ledger_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var testLimit = Limit{Rate: 100, Burst: 100}
+var testLimit = Limit{Rate: 100 * PerSecond, Burst: 100}
 
 func testLimits(string) (Limit, bool) { return testLimit, true }
 
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -36,12 +36,18 @@
 
 // Limit is the promise to one team.
 type Limit struct {
-	// Rate in requests per second, at most 1e9.
-	Rate uint32
+	// Rate in thousandths of a request per second (see PerSecond), at most 1e12.
+	Rate uint64
 	// Burst in requests, at most 1e9; 0 refuses every request.
 	Burst uint32
 }
 
+// PerSecond is the Rate of one request per second.
+const PerSecond = 1000
+
+// perSecond returns the rate in requests per second.
+func (l Limit) perSecond() float64 { return float64(l.Rate) / PerSecond }
+
 // Limits returns the limit of a team; false if the team is not configured.
 type Limits func(team string) (Limit, bool)
 
--- a/ratelimit/refusals_test.go
+++ b/ratelimit/refusals_test.go
@@ -12,9 +12,9 @@
 func teamLimits() map[string]Limit {
 	limits := map[string]Limit{}
 	for i := range 8 {
-		l := Limit{Rate: 50, Burst: 100}
+		l := Limit{Rate: 50 * PerSecond, Burst: 100}
 		if i < 3 {
-			l = Limit{Rate: 400, Burst: 800}
+			l = Limit{Rate: 400 * PerSecond, Burst: 800}
 		}
 		limits[fmt.Sprintf("team-%d", i)] = l
 	}
--- a/ratelimit/report.go
+++ b/ratelimit/report.go
@@ -125,7 +125,7 @@
 		t.wanted = 0
 		return
 	}
-	ppm := headroom * t.demand / float64(t.limit.Rate) * Whole
+	ppm := headroom * t.demand / t.limit.perSecond() * Whole
 	wanted := max(uint32(min(ppm, Whole)), t.limit.MinShare())
 	if math.Abs(float64(wanted)-float64(t.wanted)) > deadBand*float64(t.wanted) {
 		t.wanted = wanted
