--- a/measure/cmd/slopes/main.go
+++ b/measure/cmd/slopes/main.go
@@ -24,6 +24,7 @@
 	Output string `default:".run/slopes.json" help:"File for the results as JSON."`
 	Binary string `default:"bin/trefoildock" help:"Node program for measurements on separate processes."`
 	Only   string `default:"." help:"Regular expression of the quantities to measure. Quantities of one experiment are measured together."`
+	Table  string `default:"text" enum:"text,markdown" help:"Form of the table: ${enum}. Default ${default}."`
 	List   bool   `help:"List the quantities and exit."`
 }
 
@@ -72,6 +73,9 @@
 	if err := c.write(d); err != nil {
 		return err
 	}
+	if c.Table == "markdown" {
+		return slopes.Markdown(os.Stdout, d.Results)
+	}
 	return slopes.Table(os.Stdout, d.Results)
 }
 
--- a/measure/slopes/report.go
+++ b/measure/slopes/report.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -27,11 +29,36 @@
 	return t.Flush()
 }
 
+// negligible is a value that only rounding produces.
+const negligible = 1e-6
+
 // number writes three significant digits without an exponent.
 func number(v float64) string {
+	if math.Abs(v) < negligible {
+		return "0"
+	}
 	rounded, err := strconv.ParseFloat(strconv.FormatFloat(v, 'e', 2, 64), 64)
 	if err != nil {
 		return strconv.FormatFloat(v, 'g', -1, 64)
 	}
 	return strconv.FormatFloat(rounded, 'f', -1, 64)
 }
+
+// Markdown writes results in the form of the table of slopes in docs/CAPACITY.md.
+func Markdown(w io.Writer, results []Result) error {
+	_, err := io.WriteString(w, "| slope | unit | per | slope | intercept | largest deviation, R2 | sizes: values |\n| --- | --- | --- | ---: | ---: | --- | --- |\n")
+	if err != nil {
+		return err
+	}
+	for _, r := range results {
+		var points []string
+		for _, p := range r.Points {
+			points = append(points, number(p.Size)+": "+number(p.Value))
+		}
+		if _, err := fmt.Fprintf(w, "| `%s` | %s | %s | %s | %s | %.0f%%, %.3f | %s |\n", r.Name, r.Unit, r.Per,
+			number(r.Slope), number(r.Intercept), 100*r.MaxDeviation, r.R2, strings.Join(points, "; ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
