--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 SEED ?= 1
 
-.PHONY: help build check format-check lint test generate tidy demo serve measure slopes fuzz
+.PHONY: help build check format-check format lint test generate tidy demo serve measure slopes
 
 help: ## List the targets.
 	@sed -n 's/^\([a-z-]*\):.*## \(.*\)/\1\t\2/p' $(MAKEFILE_LIST) | expand -t 16
@@ -48,6 +48,12 @@
 test: ## Run all tests.
 	go test -timeout 10m $(PACKAGES)
 
+demo: build ## Run both deployments as processes through faults; exit 0 only if every promise held.
+	bin/demo run
+
+serve: build ## Leave one deployment up until Ctrl-C and print commands to try.
+	bin/demo serve
+
 slopes: build ## Measure how cost grows with size (docs/CAPACITY.md); about 2 minutes.
 	go run ./measure/cmd/slopes --output .run/slopes.json
 
