--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 serve: build ## Leave one deployment up until Ctrl-C and print commands to try.
 	bin/demo serve
 
-slopes: build ## Measure how cost grows with size (docs/CAPACITY.md); about 2 minutes.
+slopes: build ## Measure how cost grows with size (docs/CAPACITY.md); about 2.5 minutes.
 	go run ./measure/cmd/slopes --output .run/slopes.json
 
 generate: $(BUF) $(PROTOC_GEN_GO) ## Regenerate the protobuf code.
--- a/measure/slopes/messages.go
+++ b/measure/slopes/messages.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"trefoildock.example/detection"
 	"trefoildock.example/freshness"
 	"trefoildock.example/wire"
 )
@@ -26,6 +27,13 @@
 			},
 			sizes: []int{1, 10, 20, 40}, run: measureServiceReport,
 		},
+		{
+			quantities: []Quantity{
+				{"detection:round_time", "ns", "backend server", "take over one report of each backend server of a service and judge them all"},
+				{"detection:member_heap", "B", "backend server", "live heap of the detector after 10 s of reports"},
+			},
+			sizes: []int{9, 20, 42, 100}, run: measureDetection,
+		},
 	}
 }
 
@@ -127,8 +135,6 @@
 	return &wire.Call{Body: &wire.Call_ServiceReport{ServiceReport: r}}
 }
 
-// measureServiceReport measures the messages only. The scoring at the home
-// belongs to module detection and is not measured here yet.
 func measureServiceReport(_ context.Context, _ Environment, n int) ([]float64, error) {
 	call := serviceReport(n)
 	size, err := exchangeBytes(call, &wire.Answer{Body: &wire.Answer_Service{Service: &wire.ServiceAnswer{}}})
@@ -138,3 +144,32 @@
 	spent := work(func() { _, _, err = transfer(callEnvelope(call)) })
 	return []float64{size, spent}, err
 }
+
+// measureDetection measures the scoring at a service home. The home does not
+// call it yet: module node answers every service report with "not home".
+func measureDetection(_ context.Context, _ Environment, servers int) ([]float64, error) {
+	now := time.Unix(5_000, 0)
+	statuses := make([]detection.BackendStatus, servers)
+	for i := range statuses {
+		statuses[i] = detection.BackendStatus{
+			BackendServer: fmt.Sprintf("%s-%03d", serviceName(1), i), Zone: zoneName(i), Incarnation: incarnation(i),
+			Requests: 5, LatencyP50: 5*time.Millisecond + time.Duration(i%7)*time.Millisecond, LatencyP90: 20 * time.Millisecond, InService: true,
+		}
+	}
+	var d *detection.Detector
+	round := func() {
+		now = now.Add(detection.ReportInterval)
+		for _, s := range statuses {
+			d.Observe(now, s)
+		}
+		d.Evaluate(now)
+	}
+	heap := heapOf(func() *detection.Detector {
+		d = detection.NewDetector(detection.Config{})
+		for range 20 {
+			round()
+		}
+		return d
+	})
+	return []float64{work(round), heap}, nil
+}
