--- /dev/null
+++ b/cmd/trefoildock/metrics_page_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/go-kit/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/configstore"
+	"trefoildock.example/node"
+	"trefoildock.example/platform/memory"
+	"trefoildock.example/settings"
+)
+
+// Guards against a metric that the page does not explain, and against a page
+// that explains a metric that no longer exists.
+func TestMetricsPageIsComplete(t *testing.T) {
+	store := memory.New()
+	registry := metrics.NewRegistry()
+	node.New(settings.Default(), node.Dependencies{
+		Store:    configstore.New(store.Table(), store.Objects(), configstore.Options{}),
+		Logger:   log.NewNopLogger(),
+		Registry: registry,
+	})
+	var registered []string
+	registry.Each(func(name string, _ any) { registered = append(registered, name) })
+	require.NotEmpty(t, registered)
+	codes := firstGroups(t, "../../admin/problem.go", `(?m)^\tCode\w+ += "([a-z-]+)"$`)
+	require.NotEmpty(t, codes)
+	for _, code := range codes {
+		registered = append(registered, "admin.refused."+code)
+	}
+	require.ElementsMatch(t, registered, firstGroups(t, "../../docs/metrics.md", "(?m)^\\| `([^`]+)` \\|"))
+}
+
+// firstGroups returns the first group of each match in a file.
+func firstGroups(t *testing.T, file, pattern string) []string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	var groups []string
+	for _, match := range regexp.MustCompile(pattern).FindAllStringSubmatch(string(text), -1) {
+		groups = append(groups, match[1])
+	}
+	return groups
+}
--- a/cmd/trefoildock/node_cmd.go
+++ b/cmd/trefoildock/node_cmd.go
@@ -81,5 +81,5 @@
 func newLogger(a *app, s *settings.Settings) log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(a.stderr))
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(s.Process.LogLevel, level.InfoValue())))
-	return log.With(logger, "ts", log.DefaultTimestampUTC, "node", s.Node.Name)
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "instance", s.Node.Name)
 }
--- a/standin/cmd/demo/checks.go
+++ b/standin/cmd/demo/checks.go
@@ -102,13 +102,13 @@
 	return len(own), worst
 }
 
-// wrongfulRefusals counts refusals for the rate of teams that keep their rate,
-// which are all but the greedy one.
-func wrongfulRefusals(attempts []load.Attempt, greedy string) int {
-	n := 0
+// wrongfulRefusals counts refusals for the rate by team, for teams that keep
+// their rate, which are all but the greedy one.
+func wrongfulRefusals(attempts []load.Attempt, greedy string) map[string]int {
+	n := make(map[string]int)
 	for i := range attempts {
 		if attempts[i].Code == codeRate && attempts[i].Team != greedy {
-			n++
+			n[attempts[i].Team]++
 		}
 	}
 	return n
--- a/standin/cmd/demo/checks_test.go
+++ b/standin/cmd/demo/checks_test.go
@@ -57,8 +57,8 @@
 	require.Equal(t, 5, sent)
 	require.Len(t, failed, 3)
 	require.Len(t, lostIn(attempts, p), 2)
-	require.Equal(t, 1, wrongfulRefusals(attempts, "other"))
-	require.Zero(t, wrongfulRefusals(attempts, "t"))
+	require.Equal(t, map[string]int{"t": 1}, wrongfulRefusals(attempts, "other"))
+	require.Empty(t, wrongfulRefusals(attempts, "t"))
 }
 
 // Guards against a gap, a missing requester or an extra record in the audit trail.
--- a/standin/cmd/demo/result.go
+++ b/standin/cmd/demo/result.go
@@ -21,8 +21,8 @@
 	name    string
 	reports [2]*load.Report
 	codes   map[string]uint64
-	// wrongful counts refusals of teams that keep their rate.
-	wrongful int
+	// wrongful counts refusals of teams that keep their rate, by team.
+	wrongful map[string]int
 	promises []promise
 	examples []string
 }
@@ -210,7 +210,11 @@
 	for _, code := range slices.Sorted(maps.Keys(r.codes)) {
 		fmt.Printf(" %s %d", code, r.codes[code])
 	}
-	fmt.Printf("; refused for their rate although within it: %d\n", r.wrongful)
+	fmt.Print("\nrefused for their rate although within it:")
+	for _, team := range slices.Sorted(maps.Keys(r.wrongful)) {
+		fmt.Printf(" %s %d", team, r.wrongful[team])
+	}
+	fmt.Println()
 	for _, p := range r.promises {
 		state := "held  "
 		if !p.held {
