Freeze a node for longer than its removal takes

Cause: trials with a node stopped by SIGSTOP showed its removal after 2.36, 2.70 and 2.85 s, so a freeze of 3 s often ended before.

Change: the demo freezes for 5 s, so the node is removed and joins again.

--- a/standin/cmd/demo/scenario.go
+++ b/standin/cmd/demo/scenario.go
@@ -17,7 +17,7 @@
 	settleTime    = time.Second
 	zoneOutTime   = 3500 * time.Millisecond
 	downTime      = 2 * time.Second // of a killed process until its restart
-	freezeTime    = 3 * time.Second
+	freezeTime    = 5 * time.Second // longer than the 2.5 s until a silent node is removed
 	outageTime    = 4 * time.Second
 	stopTimeout   = 15 * time.Second
 	restartedTime = 15 * time.Second // until a restarted node is ready
