--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -13,7 +13,7 @@
 )
 
 // cutZones cuts the direction from one availability zone to another among n nodes.
-func (f *fleet) cutZones(n, from, to int, cut bool) {
+func (f *virtualFleet) cutZones(n, from, to int, cut bool) {
 	for i := range n {
 		for j := range n {
 			if i%len(zones) == from && j%len(zones) == to {
@@ -24,7 +24,7 @@
 }
 
 // isolate cuts a node off from all others in both directions.
-func (f *fleet) isolate(n, i int, cut bool) {
+func (f *virtualFleet) isolate(n, i int, cut bool) {
 	for j := range n {
 		if j != i {
 			f.net.setCut(nodeIP(i), nodeIP(j), cut)
@@ -49,7 +49,7 @@
 
 // Guards against a fleet that stops because the platform's table is away.
 func TestTableOutage(t *testing.T) {
-	runFleet(t, 6, func(f *fleet) {
+	runFleet(t, 6, func(f *virtualFleet) {
 		f.platform.SetFaults(memory.Faults{Down: true})
 		for minute := range 11 { // Longer than any window of the fleet.
 			time.Sleep(time.Minute)
@@ -68,7 +68,7 @@
 // Guards against a withdrawn key that still works at a node that missed the
 // change, because it is cut off from the others and from the table.
 func TestWithdrawnKeyAtIsolatedNode(t *testing.T) {
-	runFleet(t, 9, func(f *fleet) {
+	runFleet(t, 9, func(f *virtualFleet) {
 		f.isolate(9, 4, true)
 		f.platform.SetFaults(memory.Faults{Down: true}) // The isolated node cannot read the table either.
 		time.Sleep(500 * time.Millisecond)
@@ -88,7 +88,7 @@
 // availability zones are cut off from each other in one direction.
 func TestWithdrawnKeyDuringOneWayPartition(t *testing.T) {
 	for from := range zones {
-		runFleet(t, 9, func(f *fleet) {
+		runFleet(t, 9, func(f *virtualFleet) {
 			f.cutZones(9, from, (from+1)%3, true)
 			time.Sleep(5 * time.Second)
 			f.change(withdrawKeys("walkers"))
@@ -104,7 +104,7 @@
 
 // Guards against an order that runs again after the home of its key was lost.
 func TestOrderResentAfterLossOfItsHome(t *testing.T) {
-	runFleet(t, 9, func(f *fleet) {
+	runFleet(t, 9, func(f *virtualFleet) {
 		key := newKey()
 		r, err := f.order(0, key)
 		require.NoError(t, err)
@@ -138,7 +138,7 @@
 
 // Guards against a planned stop that cuts requests, forgets orders or refuses them.
 func TestGracefulStopKeepsOrders(t *testing.T) {
-	runFleet(t, 9, func(f *fleet) {
+	runFleet(t, 9, func(f *virtualFleet) {
 		var keys []string
 		for i := range 40 {
 			key := newKey()
@@ -170,18 +170,18 @@
 // Guards against new work in an availability zone that is out of service, and
 // against requests that fail because it leaves or returns.
 func TestZoneOutAndIn(t *testing.T) {
-	runFleet(t, 9, func(f *fleet) {
+	runFleet(t, 9, func(f *virtualFleet) {
 		f.addLine("zone zone-b out # test: maintenance")
 		start := time.Now()
 		last := time.Duration(0)
 		for range 100 {
-			before := f.dispatchedInZone("zone-b")
+			before := f.dispatchedInZoneB()
 			for i := range 9 {
 				r, err := f.order(i, newKey())
 				require.NoError(t, err)
 				require.Equal(t, http.StatusOK, r.status, r.body)
 			}
-			if f.dispatchedInZone("zone-b") != before {
+			if f.dispatchedInZoneB() != before {
 				last = time.Since(start)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -192,21 +192,21 @@
 			next.Zones = map[string]rules.Zone{}
 			return &next
 		})
-		before := f.dispatchedInZone("zone-b")
+		before := f.dispatchedInZoneB()
 		for i := range 300 {
 			r, err := f.order(i%9, newKey())
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, r.status, r.body)
 			time.Sleep(20 * time.Millisecond)
 		}
-		require.Greater(t, f.dispatchedInZone("zone-b"), before)
+		require.Greater(t, f.dispatchedInZoneB(), before)
 	})
 }
 
-func (f *fleet) dispatchedInZone(zone string) int64 {
+func (f *virtualFleet) dispatchedInZoneB() int64 {
 	total := int64(0)
 	for _, n := range f.running() {
-		if n.settings.Node.Zone == zone {
+		if n.settings.Node.Zone == "zone-b" {
 			total += n.metrics.dispatched.Count()
 		}
 	}
