--- a/node/control.go
+++ b/node/control.go
@@ -54,6 +54,8 @@
 	leaving   bool
 	tableDown bool
 	lastFresh bool
+	// turn counts the intervals, to pull from all attesters in turn.
+	turn int
 	// foundingVersion is the member version that a quorum attests since
 	// foundingAt while no configuration was ever accepted.
 	foundingVersion uint64
--- a/node/synchronise.go
+++ b/node/synchronise.go
@@ -14,6 +14,10 @@
 // parents while it is not fresh or not a member.
 const catchUpPeers = 3
 
+// attesterPulls is the number of other attesters that an attester pulls from in
+// one interval.
+const attesterPulls = 4
+
 // synchronise starts the reads and pulls of one interval.
 func (c *control) synchronise(ctx context.Context, now time.Time) {
 	self := c.node.settings.Node.Name
@@ -22,11 +26,8 @@
 	if c.topology.IsAttester(self) || !settled {
 		c.readTable(ctx)
 	}
-	// An attester needs the others only while it cannot read the table.
-	if !c.topology.IsAttester(self) || c.tableDown || !settled {
-		for _, name := range c.topology.Parents(self) {
-			c.pullMember(ctx, name)
-		}
+	for _, name := range c.parents(self) {
+		c.pullMember(ctx, name)
 	}
 	if settled {
 		return
@@ -44,6 +45,22 @@
 	}
 }
 
+// parents returns the nodes to pull from in this interval. An attester hears the
+// others in turn, because attestations are relayed: with 30 attesters each one
+// is heard within three intervals.
+func (c *control) parents(self string) []string {
+	all := c.topology.Parents(self)
+	if len(all) <= attesterPulls {
+		return all
+	}
+	c.turn++
+	picked := make([]string, attesterPulls)
+	for k := range picked {
+		picked[k] = all[(c.turn*attesterPulls+k)%len(all)]
+	}
+	return picked
+}
+
 func (c *control) randomMembers(n int) []string {
 	names := make([]string, 0, len(c.members))
 	for name := range c.members {
