Check what must always hold while a node runs

Each dispatch is verified by code that is independent of what it checks: no key, no second run of a once request, no work for a backend server that has been out of service or leaving for 2 s, no 'not run' for a request whose header was written. Versions never go back, shares never exceed the promise, and a planned stop ends with nothing in flight. A violation is counted, logged and ends a randomised run. A node without any configuration answers 503 in place of 404, which a restarted node did for up to a second.

--- a/admission/config.go
+++ b/admission/config.go
@@ -17,6 +17,8 @@
 	// StepFactor is the ratio to the baseline latency above which an answer is
 	// not at normal latency (default 3).
 	StepFactor float64
+	// Violated is told of a broken invariant, a fault of this package. Default: panic.
+	Violated func(detail string)
 	// RetryAfter is the hint given with refusals whose end is unknown (default 1 s).
 	RetryAfter time.Duration
 }
@@ -50,6 +52,9 @@
 	if c.StepFactor <= 1 {
 		c.StepFactor = 3
 	}
+	if c.Violated == nil {
+		c.Violated = func(detail string) { panic("admission: " + detail) }
+	}
 	if c.RetryAfter <= 0 {
 		c.RetryAfter = time.Second
 	}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,10 +1,9 @@
 package admission
 
 import (
+	"fmt"
 	"slices"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // entry is a request known to the controller.
@@ -280,7 +279,7 @@
 
 func (c *Controller) assertLimits() {
 	if c.inFlight > c.limit() || c.limit() > c.ramp.cap {
-		panic(errors.AssertionFailedf("admission: running %d, limit %d, slots %d", c.inFlight, c.limit(), c.ramp.cap))
+		c.cfg.Violated(fmt.Sprintf("running %d, limit %d, slots %d", c.inFlight, c.limit(), c.ramp.cap))
 	}
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -8,6 +8,7 @@
 
 	"trefoildock.example/configstore"
 	"trefoildock.example/freshness"
+	"trefoildock.example/invariant"
 	"trefoildock.example/placement"
 	"trefoildock.example/rules"
 	"trefoildock.example/wire"
@@ -157,6 +158,8 @@
 
 // publish gives traffic goroutines a new snapshot.
 func (c *control) publish() {
+	before := c.node.snapshot.Load().configVersion
+	c.node.invariants.Check(c.configVersion >= before, invariant.Version, "configuration version %d after %d", c.configVersion, before)
 	c.node.snapshot.Store(newSnapshot(c.config, c.router, c.configVersion, cloneMembers(c.members), c.membersVersion))
 }
 
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -39,6 +39,12 @@
 	address string
 	// idempotent and once differ in how long an idle connection is trusted.
 	idempotent, once *http.Transport
+	// checks verifies each dispatch; nil in tests of the dispatcher alone.
+	checks *dispatchChecks
+	// outSince is the time in nanoseconds since the epoch from which the backend
+	// server takes no new work, 0 while it does; zoneOut tells why.
+	outSince atomic.Int64
+	zoneOut  atomic.Bool
 	// echoesID is set once the backend server has repeated a request id; from
 	// then on an answer without one counts as wrong.
 	echoesID atomic.Bool
@@ -75,10 +81,19 @@
 // always a *verdict.Error; NotRun is claimed only if no connection was obtained
 // or the backend server refused before execution.
 func (d *dispatcher) roundTrip(ctx context.Context, o *wire.Offer, body io.Reader) (*http.Response, error) {
-	var connected atomic.Bool
+	var connected, written atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteHeaders: func() { written.Store(true) },
 	})
+	d.checks.before(o, d)
+	resp, err := d.exchange(ctx, o, body, &connected)
+	d.checks.after(o, err, written.Load())
+	return resp, err
+}
+
+// exchange sends the request and checks the head of the answer.
+func (d *dispatcher) exchange(ctx context.Context, o *wire.Offer, body io.Reader, connected *atomic.Bool) (*http.Response, error) {
 	req, err := d.newRequest(ctx, o, body)
 	if err != nil {
 		return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: "bad-request", Detail: "request cannot be forwarded", Cause: err}
--- a/node/entry.go
+++ b/node/entry.go
@@ -91,6 +91,10 @@
 		return err
 	}
 	snap := e.node.snapshot.Load()
+	if snap.configVersion == 0 {
+		e.metrics.notFresh.Inc(1)
+		return notFresh(c.r.Header.Get(verdict.IdempotencyKeyHeader) != "")
+	}
 	route, ok := snap.router.Match(c.r.Method, c.r.Host, c.r.URL.Path)
 	if !ok {
 		e.metrics.noRoute.Inc(1)
@@ -286,6 +290,9 @@
 // respond writes the answer. A buffered answer gets its exact length; a longer
 // one is streamed and aborted if it breaks.
 func respond(w http.ResponseWriter, r *http.Request, a *answer, id string) error {
+	if a.head.GetRequestId() != id {
+		return verdict.Lost("crossed-answer", "the answer belongs to another request", nil)
+	}
 	h := w.Header()
 	setFields(h, a.head.GetFields())
 	h.Set(verdict.RequestIDHeader, id)
--- a/node/home_rates.go
+++ b/node/home_rates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoildock.example/invariant"
 	"trefoildock.example/link"
 	"trefoildock.example/ratelimit"
 	"trefoildock.example/rules"
@@ -85,6 +86,9 @@
 	h.ledgerMu.Lock()
 	defer h.ledgerMu.Unlock()
 	h.ledger.Tick(now)
+	violations := h.ledger.Violations()
+	h.node.invariants.Check(violations == h.violations, invariant.Rate, "the shares of a team sum to more than its promise, %d times", violations)
+	h.violations = violations
 }
 
 // rateHomes returns the member version and the homes to which share reports go.
--- a/node/homes.go
+++ b/node/homes.go
@@ -47,8 +47,9 @@
 	deputies      map[int]string
 	deputyVersion uint64
 
-	ledgerMu sync.Mutex
-	ledger   *ratelimit.Ledger
+	ledgerMu   sync.Mutex
+	ledger     *ratelimit.Ledger
+	violations uint64 // of the ledger, as last reported
 
 	claims   *claims
 	services *services
--- /dev/null
+++ b/node/invariants.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"trefoildock.example/admission"
+	"trefoildock.example/invariant"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+const (
+	// outOfServiceGrace is the time after which nothing may be dispatched to a
+	// backend server that takes no new work; a request admitted before the change
+	// may still be on its way.
+	outOfServiceGrace = 2 * time.Second
+	// onceMemory and onceRecords bound the memory of dispatched request ids.
+	onceMemory  = time.Minute
+	onceRecords = 8192
+)
+
+// dispatchChecks verifies each dispatch of an owner. It is independent of the
+// code that it checks. It is safe for concurrent use.
+type dispatchChecks struct {
+	invariants *invariant.Recorder
+
+	mu   sync.Mutex
+	seen map[string]time.Time // request ids that may run only once
+}
+
+func newDispatchChecks(r *invariant.Recorder) *dispatchChecks {
+	return &dispatchChecks{invariants: r, seen: make(map[string]time.Time)}
+}
+
+// noteState records since when the backend server takes no new work.
+func (d *dispatcher) noteState(s admission.State, now time.Time) {
+	if s == admission.Serving || s == admission.Trial {
+		d.outSince.Store(0)
+		return
+	}
+	d.zoneOut.Store(s == admission.OutOfService)
+	d.outSince.CompareAndSwap(0, now.UnixNano())
+}
+
+// before checks a request right before it is sent to a backend server.
+func (c *dispatchChecks) before(o *wire.Offer, d *dispatcher) {
+	if c == nil {
+		return
+	}
+	now := time.Now()
+	for _, f := range o.GetFields() {
+		secret := f.GetName() == "Authorization" || f.GetName() == apiKeyHeader
+		c.invariants.Check(!secret, invariant.Key, "request %s carries %s to backend server %s", o.GetRequestId(), f.GetName(), d.address)
+	}
+	if since := d.outSince.Load(); since != 0 {
+		name := invariant.Leaving
+		if d.zoneOut.Load() {
+			name = invariant.Zone
+		}
+		out := now.Sub(time.Unix(0, since))
+		c.invariants.Check(out <= outOfServiceGrace, name, "request %s dispatched to %s, which takes no new work for %v", o.GetRequestId(), d.address, out)
+	}
+	if !o.GetIdempotent() {
+		c.invariants.Check(c.first(o.GetRequestId(), now), invariant.Once, "request %s dispatched again to %s", o.GetRequestId(), d.address)
+	}
+}
+
+// first records a request id and reports whether it is new.
+func (c *dispatchChecks) first(id string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.seen[id]; known {
+		return false
+	}
+	if len(c.seen) >= onceRecords {
+		for old, at := range c.seen {
+			if now.Sub(at) > onceMemory || len(c.seen) >= onceRecords {
+				delete(c.seen, old)
+			}
+		}
+	}
+	c.seen[id] = now
+	return true
+}
+
+// after checks that a request whose bytes were written is not reported as not
+// run, unless the backend server refused it.
+func (c *dispatchChecks) after(o *wire.Offer, err error, written bool) {
+	e := verdict.From(err)
+	if c == nil || e == nil || e.Verdict != verdict.NotRun {
+		return
+	}
+	refused := e.Code == "backend-shed" || e.Code == "backend-draining"
+	c.invariants.Check(refused || !written, invariant.NotRun, "request %s was sent but reported not run: %s", o.GetRequestId(), e.Code)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"trefoildock.example/configstore"
+	"trefoildock.example/invariant"
 	"trefoildock.example/link"
 	"trefoildock.example/settings"
 )
@@ -41,6 +42,8 @@
 	LinkServerTLS, LinkClientTLS *tls.Config
 	// TrafficTLS secures the callers' connections; nil means plain HTTP.
 	TrafficTLS *tls.Config
+	// Fatal is called when an invariant is violated; nil only counts and logs.
+	Fatal func(message string)
 	// Network opens sockets; nil means TCP.
 	Network Network
 }
@@ -60,6 +63,8 @@
 	leavingNow atomic.Bool
 	identity   atomic.Pointer[string]
 
+	invariants *invariant.Recorder
+
 	pool      *link.Pool
 	forwarder *forwarder
 	owner     *owner
@@ -94,7 +99,9 @@
 		n.deps.Network = tcpNetwork{}
 	}
 	n.pool = &link.Pool{Identity: identity, TLS: d.LinkClientTLS, Dial: n.dialLink}
+	n.invariants = invariant.New(d.Registry, d.Logger, d.Fatal)
 	n.owner = newOwner(n.metrics, d.Logger)
+	n.owner.checks = newDispatchChecks(n.invariants)
 	n.owner.dial = n.deps.Network.Dial
 	n.owner.stateOf = n.backendState
 	n.forwarder = &forwarder{
@@ -179,6 +186,9 @@
 	err := n.traffic.Shutdown(ctx)
 	for n.owner.inFlight() > 0 && wait(ctx, 10*time.Millisecond) {
 	}
+	left := n.owner.inFlight()
+	n.invariants.Check(left == 0 || ctx.Err() != nil, invariant.Graceful, "%d requests in flight at the end of a planned stop", left)
+	n.logger.Log("event", "node stopped", "in_flight", left)
 	n.Close()
 	return errors.Wrap(err, "shut down the caller listener")
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -22,6 +22,8 @@
 	logger  log.Logger
 	// servicesChanged is told when the set of owned services has changed.
 	servicesChanged func()
+	// checks verifies each dispatch.
+	checks *dispatchChecks
 	// dial opens connections to backend servers.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -56,6 +58,7 @@
 	if b == nil {
 		b = newBackend(name, a)
 		b.dispatch.setDial(o.dial)
+		b.dispatch.checks = o.checks
 		o.backends[name] = b
 		o.logger.Log("event", "backend server announced", "backend", name, "service", a.Service, "slots", a.Slots)
 		go o.servicesChanged()
@@ -111,6 +114,7 @@
 		return
 	}
 	b.gate.SetState(s)
+	b.dispatch.noteState(s, time.Now())
 	o.logger.Log("event", "backend server state", "backend", b.name, "state", s)
 }
 
@@ -207,6 +211,7 @@
 	var once sync.Once
 	free := func() { once.Do(func() { release(result) }) }
 	defer free()
+	defer o.metrics.backendLatency.UpdateSince(time.Now())
 	result, err = o.execute(ctx, x, b, offer, in, func(r admission.Result) { result = r; free() })
 	return err
 }
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -124,13 +124,18 @@
 	if os.Getenv("TREFOILDOCK_TEST_LOG") != "" {
 		logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", s.Node.Name, "ts", log.TimestampFormat(time.Now, "04:05.000"))
 	}
-	n := New(s, Dependencies{Store: f.store, Logger: logger, Registry: metrics.NewRegistry(), Network: host{f.net, ip}})
+	n := New(s, Dependencies{Store: f.store, Logger: logger, Registry: metrics.NewRegistry(), Network: host{f.net, ip}, Fatal: f.violated})
 	require.NoError(f.t, n.Start())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.nodes[nodeName(i)] = n
 }
 
+// violated ends the run at a broken invariant.
+func (f *virtualFleet) violated(message string) {
+	f.t.Errorf("%s", message)
+}
+
 // node returns node i, or nil if it does not run.
 func (f *virtualFleet) node(name string) *Node {
 	f.mu.Lock()
