Send share reports only to homes that have to hear from this node

Each second every node walked over all members times all of its teams. Reports now go to the homes of the teams that it keeps, and to homes that wait for an empty report after a member change. Adds a test of a restart during an outage of the table.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -212,3 +212,29 @@
 	}
 	return total
 }
+
+// Guards against a node that cannot come back, or that forgets what was
+// accepted, because the platform's table is away when it starts.
+func TestRestartDuringTableOutage(t *testing.T) {
+	runFleet(t, 9, func(f *virtualFleet) {
+		f.change(withdrawKeys("homes"))
+		time.Sleep(3 * time.Second)
+		f.platform.SetFaults(memory.Faults{Down: true})
+		f.kill(4)
+		time.Sleep(2 * time.Second)
+		f.start(4)
+		n := f.node(nodeName(4))
+		f.eventually("the restarted node is fresh by its peers", func() bool { return n.fresh(time.Now()) })
+		r, err := f.send(4, http.MethodGet, "/orders/1", "", "Authorization", "Bearer "+f.keys["homes"])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusUnauthorized, r.status, "the withdrawal is known")
+		f.eventually("the restarted node serves orders of every home", func() bool {
+			served := true
+			for range 20 {
+				r, err := f.order(4, newKey())
+				served = served && err == nil && r.status == http.StatusOK
+			}
+			return served
+		})
+	})
+}
--- a/node/home_rates.go
+++ b/node/home_rates.go
@@ -91,23 +91,22 @@
 	h.violations = violations
 }
 
-// rateHomes returns the member version and the homes to which share reports go.
-func (h *homes) rateHomes() (term uint64, names []string) {
+// pendingReports returns the member version and the homes that have to hear from
+// this node under it even if there is nothing to tell.
+func (h *homes) pendingReports() (term uint64, names map[string]bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	if h.table == nil {
 		return 0, nil
 	}
-	return h.table.Version(), h.table.Nodes()
-}
-
-// awaitsReport reports whether the home has to hear from this node under the
-// member version even if there is nothing to tell.
-func (h *homes) awaitsReport(home string, term uint64) bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	since, ok := h.reportTo[home]
-	return ok && term >= since
+	term = h.table.Version()
+	names = make(map[string]bool)
+	for name, since := range h.reportTo {
+		if term >= since {
+			names[name] = true
+		}
+	}
+	return term, names
 }
 
 // reported notes that the home answered a report of the member version.
--- a/node/rates.go
+++ b/node/rates.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// report sends the shares to their homes when the holder says so. pending
-// names homes that wait for a report although this node may hold nothing of them.
+// report sends the shares to their homes when the holder says so, and an empty
+// report to homes that have to hear from this node although it holds nothing.
 func (r *rates) report(ctx context.Context, now time.Time) {
 	r.mu.Lock()
 	due := r.node.fresh(now) && r.holder.ReportDue(now)
@@ -168,16 +168,40 @@
 	if !due {
 		return
 	}
-	term, homes := r.node.homes.rateHomes()
-	for _, home := range homes {
+	term, pending := r.node.homes.pendingReports()
+	byHome := r.teamsByHome()
+	for home := range pending {
+		if byHome[home] == nil {
+			byHome[home] = map[string]bool{}
+		}
+	}
+	for home, teams := range byHome {
 		r.mu.Lock()
-		report := r.holder.Report(now, term, func(team string) bool { return r.node.homes.homeOf(kindRate, team) == home })
+		report := r.holder.Report(now, term, func(team string) bool { return teams[team] })
 		r.mu.Unlock()
-		if len(report.Shares) == 0 && !r.node.homes.awaitsReport(home, term) {
+		if len(report.Shares) > 0 || pending[home] {
+			go r.send(ctx, home, report)
+		}
+	}
+}
+
+// teamsByHome groups the teams that this node keeps a record of by their homes.
+func (r *rates) teamsByHome() map[string]map[string]bool {
+	r.mu.Lock()
+	names := r.holder.TeamNames()
+	r.mu.Unlock()
+	out := make(map[string]map[string]bool)
+	for _, team := range names {
+		home := r.node.homes.homeOf(kindRate, team)
+		if home == "" {
 			continue
 		}
-		go r.send(ctx, home, report)
+		if out[home] == nil {
+			out[home] = make(map[string]bool)
+		}
+		out[home][team] = true
 	}
+	return out
 }
 
 func (r *rates) send(ctx context.Context, home string, report ratelimit.Report) {
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -159,6 +159,15 @@
 	return 0
 }
 
+// TeamNames returns the teams with a record, in no order.
+func (h *Holder) TeamNames() []string {
+	names := make([]string, 0, len(h.teams))
+	for name := range h.teams {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Teams returns the number of teams with a record.
 func (h *Holder) Teams() int { return len(h.teams) }
 
