--- a/node/synchronise.go
+++ b/node/synchronise.go
@@ -15,8 +15,12 @@
 const catchUpPeers = 3
 
 // attesterPulls is the number of other attesters that an attester pulls from in
-// one interval.
-const attesterPulls = 4
+// one interval while the table can be read, and outagePulls while it cannot.
+// Without the table the others' attestations are all that keeps a node fresh.
+const (
+	attesterPulls = 2
+	outagePulls   = 8
+)
 
 // synchronise starts the reads and pulls of one interval.
 func (c *control) synchronise(ctx context.Context, now time.Time) {
@@ -46,18 +50,21 @@
 }
 
 // parents returns the nodes to pull from in this interval. An attester hears the
-// others in turn, because attestations are relayed: with 30 attesters each one
-// is heard within three intervals.
+// others in turn, because attestations are relayed.
 func (c *control) parents(self string) []string {
 	all := c.topology.Parents(self)
-	if len(all) <= attesterPulls {
+	count := attesterPulls
+	if c.tableDown {
+		count = outagePulls
+	}
+	if len(all) <= count {
 		return all
 	}
-	c.turn++
-	picked := make([]string, attesterPulls)
+	picked := make([]string, count)
 	for k := range picked {
-		picked[k] = all[(c.turn*attesterPulls+k)%len(all)]
+		picked[k] = all[(c.turn+k)%len(all)]
 	}
+	c.turn += count
 	return picked
 }
 
