Report backend servers to their service home and obey its ejection permits

Cause: the service home was a stub, so gray failures were never ejected and requests that crash backend servers were never stopped. Change: the owner keeps one detection window and crash guard per backend server, probes quiet ones, reports every 500 ms and obeys Eject, Trial and lower weight. Entries send a share of 1/8 of the requests to an owner on trial, which the choice by load never picks. Outcomes that depend on the caller (slow bodies) or on the queue (late dispatch) are no evidence. The fingerprint includes the target. The close timeout of yamux streams is longer than the tests on the real clock: a delayed close took a timer of a virtual clock from the shared pool once the package ran longer than 30 s.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -44,5 +44,5 @@
 
 // Load returns the load carried on replies.
 func (f *FIFO) Load() Load {
-	return Load{InFlight: uint32(f.inFlight), Queued: uint32(len(f.queue)), Limit: uint32(f.slots), Weight: fullWeight}
+	return Load{InFlight: uint32(f.inFlight), Queued: uint32(len(f.queue)), Limit: uint32(f.slots), Weight: FullWeight}
 }
--- a/admission/config.go
+++ b/admission/config.go
@@ -28,11 +28,11 @@
 	stepSlow    = 4
 )
 
-// fullWeight is the load weight of a healthy serving backend server.
-const fullWeight = 100
+// FullWeight is the load weight of a healthy serving backend server.
+const FullWeight = 100
 
-// trialWeight is the load weight during a re-admission trial.
-const trialWeight = 1
+// TrialWeight is the load weight during a re-admission trial.
+const TrialWeight = 1
 
 func (c Config) withDefaults() Config {
 	if c.TeamQueue <= 0 {
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -46,7 +46,7 @@
 	cfg = cfg.withDefaults()
 	return &Controller{
 		cfg:     cfg,
-		weight:  fullWeight,
+		weight:  FullWeight,
 		ramp:    ramp{cfg: cfg},
 		queue:   newFairQueue(),
 		entries: make(map[Ticket]*entry),
@@ -61,7 +61,7 @@
 	case c.state == Serving:
 		l.Weight = c.weight
 	case c.state == Trial:
-		l.Weight = trialWeight
+		l.Weight = TrialWeight
 	}
 	return l
 }
@@ -72,7 +72,7 @@
 // SetWeight sets the load weight while serving, 1 to 100. A suspected backend
 // server without an ejection permit gets a lower weight.
 func (c *Controller) SetWeight(weight uint32) {
-	c.weight = min(max(weight, 1), fullWeight)
+	c.weight = min(max(weight, 1), FullWeight)
 }
 
 // Announce takes over an announcement. A new incarnation starts at one slot. No
--- a/crashguard/crashguard_test.go
+++ b/crashguard/crashguard_test.go
@@ -43,7 +43,7 @@
 				}
 				crashes++
 				incarnations[i]++
-				home.Report(now, o.Lost(fmt.Sprint(i), fmt.Sprint(incarnations[i])))
+				home.Report(now, o.Lost(now, fmt.Sprint(i), fmt.Sprint(incarnations[i])))
 				break
 			}
 			if f != poison && r.IntN(2) == 0 {
@@ -112,3 +112,40 @@
 	h.Report(now, Crash{BackendServer: "d", Incarnation: "1", Alone: true, Fingerprints: []Fingerprint{f}})
 	require.Equal(t, Convicted, h.records[f].state)
 }
+
+// Guards against a crash that is not attributed because its connections were
+// lost before the restart was seen, and against blaming a request whose connection
+// was cut by a server that lived on.
+func TestConnectionLostBeforeRestart(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a, b := NewFingerprint("a", "GET", nil, ""), NewFingerprint("b", "GET", nil, "")
+	o, home := NewOwner(), NewHome()
+	o.Start(now, 1, a)
+	o.Start(now, 2, b)
+	o.Broken(now, 1)
+	o.Broken(now, 2)
+	require.Equal(t, Run, o.Start(now.Add(time.Second), 3, a), "a lost connection blocks nothing")
+	o.Done(3)
+	home.Report(now, o.Lost(now, "s", "1"))
+	changes, version := home.Changes(now, 0)
+	require.Len(t, changes, 2)
+	o.Apply(now, changes, version)
+
+	require.Equal(t, Run, o.Start(now, 4, a))
+	require.Equal(t, Delay, o.Start(now, 5, b))
+	o.Broken(now, 4)
+	crash := o.Lost(now, "s", "2")
+	require.True(t, crash.Alone)
+	require.Equal(t, []Fingerprint{a}, crash.Fingerprints)
+
+	o.Start(now, 6, b)
+	o.Unanswered(6)
+	require.Equal(t, Suspect, o.State(now, b), "a request that its caller gave up is not cleared")
+	require.Equal(t, Run, o.Start(now, 6, b))
+	o.Broken(now, 6)
+	o.Alive(now.Add(time.Millisecond))
+	require.Empty(t, o.Lost(now, "s", "3").Fingerprints)
+	o.Start(now, 7, b)
+	o.Broken(now, 7)
+	require.Empty(t, o.Lost(now.Add(brokenLifetime), "s", "4").Fingerprints)
+}
--- a/crashguard/owner.go
+++ b/crashguard/owner.go
@@ -1,6 +1,9 @@
 package crashguard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Admission says how a request may run.
 type Admission uint8
@@ -20,12 +23,28 @@
 	expires time.Time
 }
 
+// brokenLifetime is how long a request whose connection was lost may be the
+// cause of a restart that is noticed later.
+const brokenLifetime = time.Minute
+
+// maxBroken bounds the requests with lost connections that are remembered. A
+// backend server has fewer in flight at a crash.
+const maxBroken = 1024
+
+// brokenRequest is a request whose connection was lost.
+type brokenRequest struct {
+	fingerprint Fingerprint
+	alone       bool
+	at          time.Time
+}
+
 // Owner guards one backend server.
 type Owner struct {
 	// Version of the home's lists that were applied.
 	Version  uint64
 	states   map[Fingerprint]entry
 	inFlight map[uint64]Fingerprint
+	broken   []brokenRequest
 	alone    bool
 }
 
@@ -51,19 +70,25 @@
 	o.Version = version
 }
 
-// Start decides a request and counts it in flight if it may run.
-func (o *Owner) Start(now time.Time, id uint64, f Fingerprint) Admission {
+// State returns the standing of a fingerprint.
+func (o *Owner) State(now time.Time, f Fingerprint) State {
 	e := o.states[f]
 	if now.After(e.expires) {
-		e.state = Unknown
+		return Unknown
 	}
+	return e.state
+}
+
+// Start decides a request and counts it in flight if it may run.
+func (o *Owner) Start(now time.Time, id uint64, f Fingerprint) Admission {
+	state := o.State(now, f)
 	switch {
-	case e.state == Convicted:
+	case state == Convicted:
 		return Refuse
-	case o.alone, e.state == Suspect && len(o.inFlight) > 0:
+	case o.alone, state == Suspect && len(o.inFlight) > 0:
 		return Delay
 	}
-	o.alone = e.state == Suspect
+	o.alone = state == Suspect
 	o.inFlight[id] = f
 	return Run
 }
@@ -81,18 +106,60 @@
 	return f, cleared
 }
 
-// Lost ends everything in flight after the connection was lost and a new
-// incarnation followed, and returns the report for the home.
-func (o *Owner) Lost(server, incarnation string) Crash {
-	c := Crash{BackendServer: server, Incarnation: incarnation, Alone: o.alone}
+// Unanswered ends a request without an answer while the connection held, for
+// example because its caller left. It clears nothing.
+func (o *Owner) Unanswered(id uint64) {
+	if _, known := o.inFlight[id]; known {
+		delete(o.inFlight, id)
+		o.alone = false
+	}
+}
+
+// Broken ends a request whose connection to the backend server was lost. It
+// counts as in flight at the crash if a new incarnation follows. An unknown id is
+// ignored.
+func (o *Owner) Broken(now time.Time, id uint64) {
+	f, known := o.inFlight[id]
+	if !known {
+		return
+	}
+	if len(o.broken) >= maxBroken {
+		o.broken = slices.Delete(o.broken, 0, maxBroken/2)
+	}
+	o.broken = append(o.broken, brokenRequest{fingerprint: f, alone: o.alone, at: now})
+	delete(o.inFlight, id)
+	o.alone = false
+}
+
+// Alive notes a request that started at the given time and was answered:
+// connections lost before it started were not lost by the end of the process.
+func (o *Owner) Alive(started time.Time) {
+	o.broken = slices.DeleteFunc(o.broken, func(b brokenRequest) bool { return b.at.Before(started) })
+}
+
+// Lost ends everything in flight after a new incarnation was seen, and returns
+// the report for the home. Without fingerprints there is nothing to report.
+func (o *Owner) Lost(now time.Time, server, incarnation string) Crash {
+	c := Crash{BackendServer: server, Incarnation: incarnation}
 	seen := make(map[Fingerprint]bool, len(o.inFlight))
-	for _, f := range o.inFlight {
+	add := func(f Fingerprint) {
 		if !seen[f] {
 			seen[f] = true
 			c.Fingerprints = append(c.Fingerprints, f)
 		}
 	}
+	alone := o.alone
+	for _, f := range o.inFlight {
+		add(f)
+	}
+	for _, b := range o.broken {
+		if now.Sub(b.at) < brokenLifetime {
+			add(b.fingerprint)
+			alone = alone || b.alone
+		}
+	}
+	c.Alone = alone && len(c.Fingerprints) == 1
 	clear(o.inFlight)
-	o.alone = false
+	o.broken, o.alone = nil, false
 	return c
 }
--- a/detection/config.go
+++ b/detection/config.go
@@ -58,6 +58,9 @@
 	minReferences = 2
 	// recentReports is the number of reports behind the centre of a server.
 	recentReports = 4
+	// lagShare of the slow factor is too slow to pass a trial. A trial has few
+	// answers; at a smaller factor healthy servers with a heavy tail fail it.
+	lagShare = 0.75
 	// A request hangs if it is this much older than the siblings' oldest request
 	// and than their median latency.
 	hangFactor        = 5
--- a/detection/detector.go
+++ b/detection/detector.go
@@ -274,6 +274,17 @@
 	d.scales[k].add(shift * math.Sqrt(medianWeight(x.answers())))
 }
 
+// Lags reports whether the answers to requests of a backend server that is on
+// trial are slower than those of its siblings. It refers to the last Evaluate.
+func (d *Detector) Lags(name string) bool {
+	m := d.members[name]
+	if m == nil || !m.hasCenters[0] {
+		return false
+	}
+	ref, n := d.siblings(m, func(s *member) (float64, bool) { return s.centers[0], s.hasCenters[0] })
+	return n >= minReferences && m.centers[0]-ref > math.Log(lagShare*d.cfg.SlowFactor)
+}
+
 // addHang compares the oldest unfinished request with the siblings' oldest and
 // with their latency, so that a service with long requests is no evidence.
 func (d *Detector) addHang(m *member, x sample) {
--- a/link/link.go
+++ b/link/link.go
@@ -96,6 +96,11 @@
 	return s.conn.Close()
 }
 
+// StreamCloseTimeout is the time after which a stream is dropped that was closed
+// here and not at the peer. Tests that mix real and virtual clocks change it before
+// they open a session.
+var StreamCloseTimeout = 30 * time.Second
+
 // sessionConfig returns the yamux settings shared by both ends.
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
@@ -103,7 +108,7 @@
 	c.KeepAliveInterval = keepAliveInterval
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = writeTimeout
-	c.StreamCloseTimeout = 30 * time.Second
+	c.StreamCloseTimeout = StreamCloseTimeout
 	c.LogOutput = io.Discard
 	return c
 }
--- a/node/backend.go
+++ b/node/backend.go
@@ -101,21 +101,23 @@
 	return nil
 }
 
-// backend is one backend server owned by this node. The fields but gate and
-// dispatch are guarded by owner.mu.
+// backend is one backend server owned by this node. The fields but gate, dispatch
+// and watch are guarded by owner.mu.
 type backend struct {
 	name         string
 	announcement announcement
 	lastSeen     time.Time
 	gate         *admission.Gate
 	dispatch     *dispatcher
+	watch        *watch
 }
 
-func newBackend(name string, a announcement) *backend {
+func newBackend(name string, a announcement, w *watch) *backend {
 	return &backend{
 		name: name, announcement: a,
 		gate:     admission.NewGate(admission.Config{}),
 		dispatch: newDispatcher(a.Address, a.Connections),
+		watch:    w,
 	}
 }
 
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -32,6 +32,9 @@
 	maxStatus = 599
 	// codeWrongAnswer marks an answer that is complete but wrong.
 	codeWrongAnswer = "wrong-answer"
+	// codeCrashingRequest marks a request that is refused because it crashes
+	// backend servers.
+	codeCrashingRequest = "crashing-request"
 )
 
 // dispatcher sends requests to one backend server.
--- a/node/entry.go
+++ b/node/entry.go
@@ -196,7 +196,7 @@
 	if team != nil {
 		req.team, req.teamWeight = team.Name, uint32(team.Weight)
 	}
-	req.fingerprint = fingerprintOf(route.Path, r.Method, req.idempotencyKey, body.prefix)
+	req.fingerprint = requestFingerprint(req)
 	return req, nil
 }
 
--- a/node/execute.go
+++ b/node/execute.go
@@ -20,7 +20,7 @@
 // execute dispatches an admitted request and streams the answer to the entry.
 // finish frees the slot once the backend server is done with the request, so
 // that the load sent with the end of the answer is current.
-func (o *owner) execute(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming, finish func(admission.Result)) (result admission.Result, err error) {
+func (o *owner) execute(ctx context.Context, x exchange, b *backend, t *task, offer *wire.Offer, in *incoming, finish func(admission.Result)) (result admission.Result, err error) {
 	o.metrics.dispatched.Inc(1)
 	defer func() {
 		if err != nil && verdict.From(err).Code == codeWrongAnswer {
@@ -32,6 +32,7 @@
 		return resultOf(ctx, err), err
 	}
 	defer resp.Body.Close()
+	t.headArrived(time.Now(), resp.StatusCode, resp.ContentLength)
 	defer closeWhenDone(ctx, x)()
 	if err := o.relay(ctx, x, resp, offer, finish); err != nil {
 		return resultOf(ctx, err), err
--- a/node/forward.go
+++ b/node/forward.go
@@ -255,6 +255,9 @@
 	if len(eligible) == 1 {
 		return eligible[0]
 	}
+	if o := f.explore(eligible, service); o != nil {
+		return o
+	}
 	i := rand.IntN(len(eligible))
 	j := rand.IntN(len(eligible) - 1)
 	if j >= i {
@@ -268,6 +271,25 @@
 	return b
 }
 
+// exploreShare is the share of requests that go to an owner that is not proven
+// while there is one. The choice by load would never send it any.
+const exploreShare = 1.0 / 8
+
+// explore returns an owner on trial, or one that refused all work a while ago,
+// for a share of the requests; otherwise nil. Its refusal is a redirect.
+func (f *forwarder) explore(owners []*ownerRef, service string) *ownerRef {
+	var unproven []*ownerRef
+	for _, o := range owners {
+		if f.loads.unproven(o.node, service) {
+			unproven = append(unproven, o)
+		}
+	}
+	if len(unproven) == 0 || rand.Float64() >= exploreShare {
+		return nil
+	}
+	return unproven[rand.IntN(len(unproven))]
+}
+
 // lastResort returns an owner that was not tried although its last known state
 // speaks against it, because that state may be outdated.
 func (f *forwarder) lastResort(owners []*ownerRef, tried map[string]bool) *ownerRef {
--- a/node/load.go
+++ b/node/load.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"trefoildock.example/admission"
 	"trefoildock.example/wire"
 )
 
@@ -47,7 +48,7 @@
 	k := loadKey{node, service}
 	e := t.entries[k]
 	if e == nil {
-		e = &loadEntry{weight: 1}
+		e = &loadEntry{weight: admission.FullWeight}
 		t.entries[k] = e
 	}
 	return e
@@ -114,10 +115,20 @@
 	if now.Sub(e.seen) <= loadMaxAge {
 		busy = max(busy, float64(e.inFlight+e.queued))
 		limit = max(float64(e.limit), 1)
+		// A backend server that looks bad gets the share of its lower weight.
+		limit *= float64(min(max(e.weight, 1), admission.FullWeight)) / admission.FullWeight
 	}
 	return (busy + 1) / limit
 }
 
+// unproven reports whether the owner is on trial, or said that it takes no new
+// work so long ago that it may take some by now.
+func (t *loadTable) unproven(node, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.get(node, service).weight <= admission.TrialWeight
+}
+
 // forget drops the entries of a node that has left.
 func (t *loadTable) forget(node string) {
 	t.mu.Lock()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,6 +15,10 @@
 	badDeltas, pullErrors, tableErrors      metrics.Counter
 	memberConflicts                         metrics.Counter
 	rateRefused, claimRefused               metrics.Counter
+	convicted, crashes                      metrics.Counter
+	probes, reportsFailed                   metrics.Counter
+	ejections, floorRefused, floorReturned  metrics.Counter
+	readmissions, failedTrials              metrics.Counter
 	latency, backendLatency                 metrics.Timer
 }
 
@@ -31,6 +35,10 @@
 		badDeltas: c("control.deltas.refused"), pullErrors: c("control.pulls.failed"),
 		tableErrors: c("control.table.failed"), memberConflicts: c("control.members.conflicts"),
 		rateRefused: c("requests.refused.rate"), claimRefused: c("requests.refused.claim"),
+		convicted: c("owner.requests.convicted"), crashes: c("owner.crashes"),
+		probes: c("owner.probes"), reportsFailed: c("owner.reports.failed"),
+		ejections: c("home.ejections"), floorRefused: c("home.ejections.refused"), floorReturned: c("home.ejections.returned"),
+		readmissions: c("home.trials.passed"), failedTrials: c("home.trials.failed"),
 		latency: metrics.NewRegisteredTimer("requests.latency", r), backendLatency: metrics.NewRegisteredTimer("owner.latency", r),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,7 @@
 	homes     *homes
 	rates     *rates
 	retries   *retries
+	reports   *reports
 
 	// joined is owned by the control goroutine: this incarnation is a member.
 	joined bool
@@ -95,6 +96,7 @@
 	}
 	n.pool = &link.Pool{Identity: identity, TLS: d.LinkClientTLS, Dial: n.dialLink}
 	n.owner = newOwner(n.metrics, d.Logger)
+	n.owner.zone = s.Node.Zone
 	n.owner.dial = n.deps.Network.Dial
 	n.owner.stateOf = n.backendState
 	n.forwarder = &forwarder{
@@ -104,6 +106,7 @@
 	n.homes = newHomes(n)
 	n.rates = newRates(n)
 	n.retries = newRetries()
+	n.reports = newReports(n)
 	n.control = newControl(n)
 	n.linkServer = &link.Server{Identity: identity, TLS: d.LinkServerTLS, Handler: n, OnError: n.linkError}
 	return n
@@ -157,6 +160,7 @@
 	}
 	n.wg.Go(func() { n.control.run(n.ctx) })
 	n.wg.Go(func() { n.rates.run(n.ctx) })
+	n.wg.Go(func() { n.reports.run(n.ctx) })
 	n.wg.Go(func() { _ = n.linkServer.Serve(listeners.link) })
 	n.wg.Go(func() { <-n.ctx.Done(); listeners.link.Close() })
 	n.serveHTTP(listeners)
--- a/node/owner.go
+++ b/node/owner.go
@@ -11,6 +11,8 @@
 	"github.com/go-kit/log"
 
 	"trefoildock.example/admission"
+	"trefoildock.example/crashguard"
+	"trefoildock.example/detection"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -27,6 +29,8 @@
 
 	mu       sync.RWMutex
 	backends map[string]*backend
+	watches  *watches
+	zone     string
 	// stateOf gives the operator's and the node's state for a backend server.
 	stateOf func(name, service string) admission.State
 }
@@ -34,8 +38,8 @@
 func newOwner(m *trafficMetrics, logger log.Logger) *owner {
 	return &owner{
 		metrics: m, logger: logger, servicesChanged: func() {},
-		backends: make(map[string]*backend),
-		stateOf:  func(string, string) admission.State { return admission.Serving },
+		backends: make(map[string]*backend), watches: newWatches(),
+		stateOf: func(string, string) admission.State { return admission.Serving },
 	}
 }
 
@@ -54,13 +58,17 @@
 		b = nil
 	}
 	if b == nil {
-		b = newBackend(name, a)
+		b = newBackend(name, a, o.watches.get(now, name, o.zone))
 		b.dispatch.setDial(o.dial)
 		o.backends[name] = b
 		o.logger.Log("event", "backend server announced", "backend", name, "service", a.Service, "slots", a.Slots)
 		go o.servicesChanged()
 	}
 	b.announcement, b.lastSeen = a, now
+	if b.watch.announced(now, a.Incarnation) {
+		o.metrics.crashes.Inc(1)
+		o.logger.Log("event", "backend server restarted with requests in flight", "backend", name)
+	}
 	b.gate.Announce(admission.Announcement{Slots: a.Slots, Connections: a.Connections, Incarnation: a.Incarnation})
 	o.applyState(b)
 	return nil
@@ -81,6 +89,7 @@
 	b.gate.SetState(admission.Leaving)
 	b.dispatch.close()
 	delete(o.backends, b.name)
+	o.watches.leave(time.Now(), b.name)
 	o.logger.Log("event", "backend server gone", "backend", b.name, "service", b.announcement.Service)
 	go o.servicesChanged()
 }
@@ -90,6 +99,7 @@
 func (o *owner) tick(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.watches.tick(now)
 	for _, b := range o.backends {
 		if now.Sub(b.lastSeen) > announcementLifetime {
 			o.remove(b)
@@ -107,6 +117,7 @@
 	if b.announcement.State == "draining" {
 		s = admission.Leaving
 	}
+	b.watch.setState(s)
 	if b.gate.State() == s {
 		return
 	}
@@ -114,6 +125,19 @@
 	o.logger.Log("event", "backend server state", "backend", b.name, "state", s)
 }
 
+// refresh applies the state and the weight of a backend server after a change
+// of its orders.
+func (o *owner) refresh(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b := o.backends[name]
+	if b == nil {
+		return
+	}
+	o.applyState(b)
+	b.gate.SetWeight(b.watch.weight())
+}
+
 // services returns the sorted names of the owned services.
 func (o *owner) services() []string {
 	o.mu.RLock()
@@ -188,7 +212,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(offer.GetTimeoutUs())*time.Microsecond)
 	defer cancel()
 	if err := o.run(ctx, cancel, x, offer); err != nil {
-		_ = x.Send(abortEnvelope(verdict.From(err), o.load(offer.GetService()))) // The entry may be gone.
+		e, load := verdict.From(err), o.load(offer.GetService())
+		if e.Code == admission.CodeTrial {
+			load.Weight = 0 // To a request that is not idempotent a trial is out of service.
+		}
+		_ = x.Send(abortEnvelope(e, load)) // The entry may be gone.
 	}
 }
 
@@ -203,19 +231,48 @@
 	if err != nil {
 		return err
 	}
-	result := admission.Failure
+	deadline, _ := ctx.Deadline()
+	t, err := b.watch.begin(time.Now(), deadline, offer)
+	if err != nil {
+		release(admission.Canceled)
+		return o.countRefusal(err)
+	}
 	var once sync.Once
-	free := func() { once.Do(func() { release(result) }) }
-	defer free()
-	result, err = o.execute(ctx, x, b, offer, in, func(r admission.Result) { result = r; free() })
+	finish := func(r admission.Result, seen detection.Outcome, e ending) {
+		once.Do(func() {
+			t.end(time.Now(), seen, e)
+			release(r)
+		})
+	}
+	defer finish(admission.Failure, detection.Canceled, unanswered) // In case of a panic.
+	result, err := o.execute(ctx, x, b, t, offer, in, func(r admission.Result) { finish(r, outcomeOf(r), answered) })
+	if err == nil {
+		finish(result, outcomeOf(result), answered)
+		return nil
+	}
+	seen, e := outcomeOfError(ctx, err)
+	finish(result, seen, e)
+	return err
+}
+
+// countRefusal counts a request that the crash guard refused.
+func (o *owner) countRefusal(err error) error {
+	if verdict.From(err).Code == codeCrashingRequest {
+		o.metrics.convicted.Inc(1)
+	}
 	return err
 }
 
 // admit waits for a slot and, for a two-phase request, for the entry's commit.
 func (o *owner) admit(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming) (func(admission.Result), error) {
+	standing := b.watch.standing(time.Now(), fingerprintFrom(offer.GetFingerprint()))
+	if standing == crashguard.Convicted {
+		return nil, o.countRefusal(crashingRequest())
+	}
 	deadline, _ := ctx.Deadline()
 	req := admission.Request{
 		Team: offer.GetTeam(), Weight: offer.GetTeamWeight(), Deadline: deadline, Idempotent: offer.GetIdempotent(),
+		Exclusive: standing == crashguard.Suspect,
 	}
 	if !offer.GetTwoPhase() {
 		release, err := b.gate.Acquire(ctx, req)
--- /dev/null
+++ b/node/probe.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"trefoildock.example/admission"
+	"trefoildock.example/detection"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+const (
+	// probeTimeout bounds a probe, which takes about 25 ms.
+	probeTimeout = time.Second
+	// probeInterval is the time between the probes that confirm a bad one.
+	probeInterval = 50 * time.Millisecond
+	// maxProbeBytes bounds what is read of the answer to a probe.
+	maxProbeBytes = 64 << 10
+)
+
+// errProbe reports a probe that was answered by a failure.
+var errProbe = errors.New("the probe was answered by a failure")
+
+// probe starts probes of the backend servers that are due.
+func (r *reports) probe(ctx context.Context, services map[string][]*backend) {
+	config := r.node.snapshot.Load().config
+	for service, owned := range services {
+		path := config.Services[service].ProbePath
+		if path == "" {
+			continue
+		}
+		for _, b := range owned {
+			if b.watch.claimProbe(time.Now()) {
+				r.node.wg.Go(func() { r.probeUntilClear(ctx, b, service, path) })
+			}
+		}
+	}
+}
+
+// claimProbe reports whether a probe is due and no other one is under way.
+func (w *watch) claimProbe(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.probing || !w.window.ProbeDue(now) {
+		return false
+	}
+	w.probing = true
+	return true
+}
+
+// probeUntilClear probes a backend server until no probe is due at once.
+func (r *reports) probeUntilClear(ctx context.Context, b *backend, service, path string) {
+	for {
+		r.probeOnce(ctx, b, service, path)
+		b.watch.releaseProbe()
+		if !wait(ctx, probeInterval) || !b.watch.claimProbe(time.Now()) {
+			return
+		}
+	}
+}
+
+func (w *watch) releaseProbe() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probing = false
+}
+
+// probeOnce sends a probe as a request through the gate, so that it keeps to the
+// slots. A probe that is not admitted is no evidence.
+func (r *reports) probeOnce(ctx context.Context, b *backend, service, path string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	release, err := b.gate.Acquire(ctx, admission.Request{Idempotent: true})
+	if err != nil {
+		return
+	}
+	r.node.metrics.probes.Inc(1)
+	id := b.watch.beginProbe(time.Now())
+	offer := &wire.Offer{RequestId: uuid.NewString(), Service: service, Method: http.MethodGet, Target: path, Host: b.dispatch.address, Idempotent: true}
+	err = b.dispatch.probe(ctx, offer)
+	seen, result := detection.OK, admission.Success
+	if err != nil {
+		seen, result = detection.Error, admission.Failure
+		if errors.Is(ctx.Err(), context.Canceled) {
+			seen, result = detection.Canceled, admission.Canceled
+		}
+	}
+	b.watch.endProbe(time.Now(), id, seen)
+	release(result)
+}
+
+func (w *watch) beginProbe(now time.Time) detection.RequestID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.window.BeginProbe(now)
+}
+
+func (w *watch) endProbe(now time.Time, id detection.RequestID, o detection.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.window.End(now, id, o)
+}
+
+// probe sends a probe over the connections of the requests. Health endpoints
+// need not repeat the request id, but must not repeat another one.
+func (d *dispatcher) probe(ctx context.Context, o *wire.Offer) error {
+	req, err := d.newRequest(ctx, o, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := d.idempotent.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes)); err != nil {
+		return err
+	}
+	id := resp.Header.Get(verdict.RequestIDHeader)
+	if resp.StatusCode >= http.StatusInternalServerError || id != "" && id != o.GetRequestId() {
+		return errProbe
+	}
+	return nil
+}
--- a/node/request.go
+++ b/node/request.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"trefoildock.example/crashguard"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -35,6 +37,14 @@
 	body           *requestBody
 }
 
+// requestFingerprint identifies equal requests. The target belongs to it, because
+// a route covers many resources and only one of them may crash backend servers.
+func requestFingerprint(r *request) []byte {
+	digest := sha256.Sum256(r.body.prefix)
+	f := crashguard.NewFingerprint(r.route+"\x00"+r.target, r.method, digest[:], r.idempotencyKey)
+	return f[:]
+}
+
 // offer returns the wire form of the request with the time left until deadline.
 func (r *request) offer(deadline time.Time) *wire.Offer {
 	return &wire.Offer{
--- a/node/service.go
+++ b/node/service.go
@@ -1,22 +1,199 @@
 package node
 
 import (
+	"context"
+	"sync"
+	"time"
+
 	"trefoildock.example/admission"
-	"trefoildock.example/link"
+	"trefoildock.example/crashguard"
+	"trefoildock.example/detection"
+	"trefoildock.example/ejection"
 	"trefoildock.example/wire"
 )
 
-// services serves the services whose home is this node.
-type services struct{ homes *homes }
+// reportTimeout bounds one report. A report ends before the next one is sent, so
+// the answer to an earlier report can never replace that to a later one.
+const reportTimeout = detection.ReportInterval - 50*time.Millisecond
 
-func newServices(h *homes) *services { return &services{homes: h} }
+// reports sends what the owner knows about its backend servers to the service
+// homes and obeys the orders in their answers. It is safe for concurrent use.
+type reports struct {
+	node *Node
 
-func (s *services) answer(link.Peer, *wire.ServiceReport) *wire.Answer {
-	return &wire.Answer{Body: &wire.Answer_Service{Service: &wire.ServiceAnswer{NotHome: true}}}
+	mu       sync.Mutex
+	sequence uint64
+	busy     map[string]bool // services whose report is under way
 }
 
-// ejectionState returns the state of a backend server by its ejection permit.
-func (h *homes) ejectionState(string, string) admission.State { return admission.Serving }
+func newReports(n *Node) *reports { return &reports{node: n, busy: make(map[string]bool)} }
+
+// run reports every service and probes quiet backend servers.
+func (r *reports) run(ctx context.Context) {
+	ticker := time.NewTicker(detection.ReportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		services := r.node.owner.byService()
+		for service, owned := range services {
+			if sequence, ok := r.begin(service); ok {
+				r.node.wg.Go(func() { r.report(ctx, service, owned, sequence) })
+			}
+		}
+		r.probe(ctx, services)
+	}
+}
+
+// begin returns the sequence number of the next report of a service.
+func (r *reports) begin(service string) (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[service] {
+		return 0, false
+	}
+	r.busy[service] = true
+	r.sequence++
+	return r.sequence, true
+}
+
+func (r *reports) finish(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.busy, service)
+}
+
+// byService groups the owned backend servers.
+func (o *owner) byService() map[string][]*backend {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	out := make(map[string][]*backend)
+	for _, b := range o.backends {
+		out[b.announcement.Service] = append(out[b.announcement.Service], b)
+	}
+	return out
+}
 
-// ejected returns the backend servers of a service that hold a permit.
-func (s *services) ejected(string) []string { return nil }
+// report sends one report and applies its answer. Orders count from the time
+// before the report was sent.
+func (r *reports) report(ctx context.Context, service string, owned []*backend, sequence uint64) {
+	defer r.finish(service)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	sent := time.Now()
+	m := &wire.ServiceReport{Owner: r.node.settings.Node.Name, Service: service, Sequence: sequence}
+	for i, b := range owned {
+		b.watch.addTo(m, sent, b.gate.State(), i == 0)
+	}
+	answer, err := r.node.homes.callHome(ctx, kindService, service, &wire.Call{Body: &wire.Call_ServiceReport{ServiceReport: m}})
+	if err == nil && (answer.GetService() == nil || answer.GetService().GetNotHome()) {
+		err = errNoHome
+	}
+	if err == nil {
+		err = ctx.Err() // An answer after the timeout may cross the next report.
+	}
+	if err != nil {
+		r.node.metrics.reportsFailed.Inc(1)
+		return
+	}
+	for _, b := range owned {
+		until := b.watch.apply(time.Now(), sent, m, answer.GetService())
+		r.node.owner.refresh(b.name)
+		if left := time.Until(until); left > 0 {
+			// The permit must end in time even if no other event looks at it.
+			time.AfterFunc(left, func() { r.node.owner.refresh(b.name) })
+		}
+	}
+}
+
+// addTo adds the status of a backend server to a report. The report carries one
+// version of the fingerprint lists: the lowest that a backend server holds.
+func (w *watch) addTo(m *wire.ServiceReport, now time.Time, state admission.State, first bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := statusToWire(w.window.Report(now))
+	obeyed := w.obeyed(now, state)
+	s.Ejected, s.Trial = obeyed != ejection.Serve, obeyed == ejection.Trial
+	s.InService = state != admission.Leaving && state != admission.OutOfService
+	m.Backends = append(m.Backends, s)
+	for _, c := range w.crashes {
+		m.Crashes = append(m.Crashes, crashToWire(c))
+	}
+	for _, f := range w.cleared {
+		m.Cleared = append(m.Cleared, f[:])
+	}
+	switch {
+	case first || m.GuardHome != w.guardHome:
+		m.GuardHome, m.GuardVersion = w.guardHome, w.guard.Version
+		if !first {
+			m.GuardHome, m.GuardVersion = "", 0 // The home then sends everything.
+		}
+	default:
+		m.GuardVersion = min(m.GuardVersion, w.guard.Version)
+	}
+}
+
+// obeyed returns the order that the backend server obeys: that in force, or that
+// of the gate if it was not yet told that the permit expired. The lock is held.
+func (w *watch) obeyed(now time.Time, state admission.State) ejection.Order {
+	if o := w.holder.Order(now); o != ejection.Serve {
+		return o
+	}
+	switch state {
+	case admission.Ejected:
+		return ejection.Eject
+	case admission.Trial:
+		return ejection.Trial
+	default:
+		return ejection.Serve
+	}
+}
+
+// apply obeys the answer to a report and returns when its permit expires.
+func (w *watch) apply(now, sent time.Time, m *wire.ServiceReport, a *wire.ServiceAnswer) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes = dropReported(w.crashes, m)
+	w.cleared = dropCleared(w.cleared, m)
+	order := ejection.Serve
+	switch {
+	case contains(a.GetTrial(), w.name):
+		order = ejection.Trial
+	case contains(a.GetEjected(), w.name):
+		order = ejection.Eject
+	}
+	w.holder.Apply(sent, order)
+	w.suspected = contains(a.GetSuspected(), w.name)
+	changes := make([]crashguard.Change, len(a.GetFingerprints()))
+	for i, c := range a.GetFingerprints() {
+		changes[i] = crashguard.Change{
+			Fingerprint: fingerprintFrom(c.GetFingerprint()), State: crashguard.State(c.GetState()),
+			Left: time.Duration(c.GetLeftUs()) * time.Microsecond,
+		}
+	}
+	w.guard.Apply(now, changes, a.GetGuardVersion())
+	w.guardHome = a.GetGuardHome()
+	if order == ejection.Serve {
+		return time.Time{}
+	}
+	return w.holder.Until()
+}
+
+// ejectionState returns the state of a backend server by its ejection permit.
+func (h *homes) ejectionState(name, _ string) admission.State {
+	w := h.node.owner.watches.find(name)
+	if w == nil {
+		return admission.Serving
+	}
+	switch w.order(time.Now()) {
+	case ejection.Eject:
+		return admission.Ejected
+	case ejection.Trial:
+		return admission.Trial
+	default:
+		return admission.Serving
+	}
+}
--- /dev/null
+++ b/node/service_wire.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"trefoildock.example/crashguard"
+	"trefoildock.example/detection"
+	"trefoildock.example/wire"
+)
+
+func contains(names []string, name string) bool { return slices.Contains(names, name) }
+
+func statusToWire(s detection.BackendStatus) *wire.BackendStatus {
+	return &wire.BackendStatus{
+		BackendServer: s.BackendServer, Zone: s.Zone, Incarnation: s.Incarnation,
+		Requests: s.Requests, Probes: s.Probes, Errors: s.Errors, Wrong: s.Wrong,
+		LatencyP50Us: s.LatencyP50.Microseconds(), LatencyP90Us: s.LatencyP90.Microseconds(), OldestUs: s.Oldest.Microseconds(),
+		InService: s.InService, Ejected: s.Ejected, TrialSuccesses: s.TrialSuccesses, TrialFailures: s.TrialFailures,
+	}
+}
+
+// statusFromWire converts a status of a backend server that the home knows
+// under the given name.
+func statusFromWire(s *wire.BackendStatus, name string) detection.BackendStatus {
+	micros := func(v int64) time.Duration { return time.Duration(max(v, 0)) * time.Microsecond }
+	return detection.BackendStatus{
+		BackendServer: name, Zone: s.GetZone(), Incarnation: s.GetIncarnation(),
+		Requests: s.GetRequests(), Probes: min(s.GetProbes(), s.GetRequests()),
+		Errors: min(s.GetErrors(), s.GetRequests()), Wrong: min(s.GetWrong(), s.GetRequests()-min(s.GetErrors(), s.GetRequests())),
+		LatencyP50: micros(s.GetLatencyP50Us()), LatencyP90: micros(s.GetLatencyP90Us()), Oldest: micros(s.GetOldestUs()),
+		InService: s.GetInService(), Ejected: s.GetEjected(), TrialSuccesses: s.GetTrialSuccesses(), TrialFailures: s.GetTrialFailures(),
+	}
+}
+
+func crashToWire(c crashguard.Crash) *wire.CrashReport {
+	out := &wire.CrashReport{BackendServer: c.BackendServer, Incarnation: c.Incarnation, Alone: c.Alone}
+	for _, f := range c.Fingerprints {
+		out.Fingerprints = append(out.Fingerprints, f[:])
+	}
+	return out
+}
+
+func crashFromWire(c *wire.CrashReport, name string) crashguard.Crash {
+	out := crashguard.Crash{BackendServer: name, Incarnation: c.GetIncarnation(), Alone: c.GetAlone()}
+	for _, f := range c.GetFingerprints() {
+		out.Fingerprints = append(out.Fingerprints, fingerprintFrom(f))
+	}
+	return out
+}
+
+// dropReported removes the crashes that a report carried.
+func dropReported(crashes []crashguard.Crash, m *wire.ServiceReport) []crashguard.Crash {
+	return slices.DeleteFunc(crashes, func(c crashguard.Crash) bool {
+		return slices.ContainsFunc(m.GetCrashes(), func(r *wire.CrashReport) bool {
+			return r.GetBackendServer() == c.BackendServer && r.GetIncarnation() == c.Incarnation
+		})
+	})
+}
+
+// dropCleared removes the cleared fingerprints that a report carried.
+func dropCleared(cleared []crashguard.Fingerprint, m *wire.ServiceReport) []crashguard.Fingerprint {
+	return slices.DeleteFunc(cleared, func(f crashguard.Fingerprint) bool {
+		return slices.ContainsFunc(m.GetCleared(), func(b []byte) bool { return fingerprintFrom(b) == f })
+	})
+}
+
+func changesToWire(changes []crashguard.Change) []*wire.FingerprintState {
+	out := make([]*wire.FingerprintState, len(changes))
+	for i, c := range changes {
+		out[i] = &wire.FingerprintState{Fingerprint: c.Fingerprint[:], State: uint32(c.State), LeftUs: c.Left.Microseconds()}
+	}
+	return out
+}
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -23,6 +23,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoildock.example/configstore"
+	"trefoildock.example/link"
 	"trefoildock.example/platform/memory"
 	"trefoildock.example/rules"
 	"trefoildock.example/settings"
@@ -65,6 +66,8 @@
 	// and two collections empty the pool.
 	defer runtime.GC()
 	defer runtime.GC()
+	link.StreamCloseTimeout = 30 * time.Second
+	defer func() { link.StreamCloseTimeout = streamCloseTimeout }()
 	synctest.Test(t, func(t *testing.T) {
 		fl := newVirtualFleet(t)
 		defer fl.close()
@@ -283,9 +286,9 @@
 }
 
 // addLine commits one more rule.
-func (f *virtualFleet) addLine(line string) uint64 {
+func (f *virtualFleet) addLine(line string) {
 	f.t.Helper()
-	return f.change(func(c *rules.Config) *rules.Config {
+	f.change(func(c *rules.Config) *rules.Config {
 		next, err := c.Apply(rules.Delta{Added: []string{line}})
 		require.NoError(f.t, err)
 		return next
