--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	homes     *homes
 	rates     *rates
 	retries   *retries
+	reports   *reports
 
 	// joined is owned by the control goroutine: this incarnation is a member.
 	joined bool
@@ -102,6 +103,7 @@
 	n.invariants = invariant.New(d.Registry, d.Logger, d.Fatal)
 	n.owner = newOwner(n.metrics, d.Logger)
 	n.owner.checks = newDispatchChecks(n.invariants)
+	n.owner.zone = s.Node.Zone
 	n.owner.dial = n.deps.Network.Dial
 	n.owner.stateOf = n.backendState
 	n.forwarder = &forwarder{
@@ -111,6 +113,7 @@
 	n.homes = newHomes(n)
 	n.rates = newRates(n)
 	n.retries = newRetries()
+	n.reports = newReports(n)
 	n.control = newControl(n)
 	n.linkServer = &link.Server{Identity: identity, TLS: d.LinkServerTLS, Handler: n, OnError: n.linkError}
 	return n
@@ -164,6 +167,7 @@
 	}
 	n.wg.Go(func() { n.control.run(n.ctx) })
 	n.wg.Go(func() { n.rates.run(n.ctx) })
+	n.wg.Go(func() { n.reports.run(n.ctx) })
 	n.wg.Go(func() { _ = n.linkServer.Serve(listeners.link) })
 	n.wg.Go(func() { <-n.ctx.Done(); listeners.link.Close() })
 	n.serveHTTP(listeners)
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -301,9 +301,9 @@
 }
 
 // addLine commits one more rule.
-func (f *virtualFleet) addLine(line string) uint64 {
+func (f *virtualFleet) addLine(line string) {
 	f.t.Helper()
-	return f.change(func(c *rules.Config) *rules.Config {
+	f.change(func(c *rules.Config) *rules.Config {
 		next, err := c.Apply(rules.Delta{Added: []string{line}})
 		require.NoError(f.t, err)
 		return next
