--- /dev/null
+++ b/node/ejection_test.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/rules"
+	standin "trefoildock.example/standin/backend"
+)
+
+const (
+	grayNodes = 12
+	// grayPause is the mean time between two requests at one entry: 60 requests/s
+	// for 6 backend servers.
+	grayPause = 200 * time.Millisecond
+)
+
+// gray runs a fleet whose nodes 0, 2, 4, ... serve the catalogue, with steady
+// requests to it.
+type gray struct {
+	*virtualFleet
+	ended chan struct{}
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	statuses map[int]int
+}
+
+func runGray(t *testing.T, floor int, f func(*gray)) {
+	t.Helper()
+	runFleet(t, grayNodes, func(v *virtualFleet) {
+		v.change(func(c *rules.Config) *rules.Config {
+			next := *c
+			next.Services = map[string]rules.Service{}
+			for name, s := range c.Services {
+				if name == "catalogue" {
+					s.Floor = floor
+				}
+				next.Services[name] = s
+			}
+			return &next
+		})
+		g := &gray{virtualFleet: v, ended: make(chan struct{}), statuses: make(map[int]int)}
+		for i := range grayNodes {
+			g.wg.Go(func() { g.browse(i) })
+		}
+		defer g.wg.Wait()
+		defer close(g.ended)
+		time.Sleep(10 * time.Second) // Ramps up and ends the silence of the home.
+		f(g)
+	})
+}
+
+func (g *gray) browse(i int) {
+	rng := rand.New(rand.NewPCG(uint64(i), 1))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-g.ended:
+			return
+		case <-time.After(time.Duration((0.5 + rng.Float64()) * float64(grayPause))):
+		}
+		path := fmt.Sprintf("/catalogue/%d", rng.IntN(50))
+		wg.Go(func() {
+			r, err := g.send(i, http.MethodGet, path, "")
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if err == nil {
+				g.statuses[r.status]++
+			}
+		})
+	}
+}
+
+func (g *gray) server(i int) *standin.Server {
+	g.virtualFleet.mu.Lock()
+	defer g.virtualFleet.mu.Unlock()
+	return g.backends[nodeName(i)].server
+}
+
+// ejected returns the catalogue servers that do not serve in full.
+func (g *gray) ejected() (names []string) {
+	for _, n := range g.running() {
+		for _, b := range n.owner.byService()["catalogue"] {
+			if s := b.gate.State().String(); s == "ejected" || s == "trial" {
+				names = append(names, b.name)
+			}
+		}
+	}
+	return names
+}
+
+func (g *gray) total(counter func(*trafficMetrics) int64) (sum int64) {
+	for _, n := range g.running() {
+		sum += counter(n.metrics)
+	}
+	return sum
+}
+
+// Guards against a backend server that keeps its work although it is slow,
+// fails or hangs while its health endpoint is fine, and against one that stays out
+// after the fault has ended.
+func TestGrayFailureIsEjectedAndReturns(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{
+		"slow":    {SlowFactor: 5},
+		"errors":  {ErrorShare: 0.5},
+		"cut":     {CutShare: 0.5},
+		"crossed": {CrossedShare: 0.5},
+		"wrong":   {WrongShare: 0.5},
+		"hang":    {HangShare: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runGray(t, 4, func(g *gray) {
+				require.Empty(t, g.ejected())
+				require.NoError(t, g.server(2).SetFaults(faults))
+				start := time.Now()
+				g.eventually("the server is ejected", func() bool { return len(g.ejected()) > 0 })
+				t.Logf("ejected after %v", time.Since(start))
+				require.LessOrEqual(t, time.Since(start), 6*time.Second)
+				require.Equal(t, []string{"catalogue-2"}, g.ejected())
+				before := g.server(2).Stats().Started
+				time.Sleep(4 * time.Second)
+				require.Equal(t, before, g.server(2).Stats().Started, "an ejected server gets no work")
+				require.NoError(t, g.server(2).SetFaults(standin.Faults{}))
+				time.Sleep(time.Minute)
+				require.Empty(t, g.ejected())
+				before = g.server(2).Stats().Started
+				time.Sleep(5 * time.Second)
+				require.Greater(t, g.server(2).Stats().Started, before, "a server that recovered gets work")
+			})
+		})
+	}
+}
+
+// Guards against ejections below the floor, and against bad servers that stay
+// out when an operator takes capacity away.
+func TestFloorHolds(t *testing.T) {
+	runGray(t, 5, func(g *gray) {
+		require.NoError(t, g.server(2).SetFaults(standin.Faults{ErrorShare: 0.5}))
+		require.NoError(t, g.server(6).SetFaults(standin.Faults{ErrorShare: 0.9}))
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			require.LessOrEqual(t, len(g.ejected()), 1, "five of six servers must serve")
+		}
+		require.Positive(t, g.total(func(m *trafficMetrics) int64 { return m.ejections.Count() }))
+		require.Positive(t, g.total(func(m *trafficMetrics) int64 { return m.floorRefused.Count() }))
+		g.eventually("one is out", func() bool { return len(g.ejected()) == 1 })
+		g.addLine("backend catalogue-0 out # test: disk swap")
+		time.Sleep(5 * time.Second)
+		require.Empty(t, g.ejected(), "all that is left must serve")
+	})
+}
+
+// Guards against ejections because a service as a whole is overloaded or slow.
+func TestOverloadEjectsNothing(t *testing.T) {
+	runGray(t, 2, func(g *gray) {
+		for i := range 6 {
+			require.NoError(t, g.server(2*i).SetFaults(standin.Faults{SlowFactor: 200}))
+		}
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			require.Empty(t, g.ejected())
+		}
+		require.Greater(t, g.statuses[http.StatusServiceUnavailable]+g.statuses[http.StatusTooManyRequests], 0, "the service is overloaded")
+	})
+}
+
+// Guards against one request that crashes backend servers for as long as its
+// caller resends it, and against refusing innocent requests that ran beside it.
+func TestCrashingRequestIsConvicted(t *testing.T) {
+	runGray(t, 2, func(g *gray) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for i := range 6 {
+			require.NoError(t, g.server(2*i).SetFaults(standin.Faults{CrashMarker: "poison"}))
+			go g.restart(ctx, 2*i)
+		}
+		crashes := func() int64 { return g.total(func(m *trafficMetrics) int64 { return m.crashes.Count() }) }
+		last := reply{}
+		for range 40 {
+			var err error
+			last, err = g.send(1, http.MethodGet, "/catalogue/9", "", "X-Marker", "poison")
+			require.NoError(t, err)
+			time.Sleep(500 * time.Millisecond)
+		}
+		seen := crashes()
+		t.Logf("%d crashes", seen)
+		require.Positive(t, seen)
+		require.Equal(t, http.StatusServiceUnavailable, last.status, last.body)
+		require.Contains(t, last.body, codeCrashingRequest)
+		time.Sleep(10 * time.Second)
+		for range 20 {
+			_, err := g.send(3, http.MethodGet, "/catalogue/9", "", "X-Marker", "poison")
+			require.NoError(t, err)
+		}
+		time.Sleep(5 * time.Second)
+		require.Equal(t, seen, crashes(), "the convicted request runs nowhere")
+		for i := range 50 {
+			r, err := g.send(5, http.MethodGet, fmt.Sprintf("/catalogue/%d", 100+i), "")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+		}
+	})
+}
+
+// restart starts the backend server of a node again one second after a crash.
+func (g *gray) restart(ctx context.Context, i int) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.server(i).Done():
+		}
+		g.killBackend(nodeName(i))
+		if !wait(ctx, time.Second) {
+			return
+		}
+		g.startBackend(i, standin.Config{Name: fmt.Sprintf("catalogue-%d", i), Service: "catalogue", ServiceTime: 2 * time.Millisecond, Seed: uint64(i)})
+		_ = g.server(i).SetFaults(standin.Faults{CrashMarker: "poison"})
+	}
+}
