Confirm failed requests with probes and wait for a shared cause

At 5 requests/s a fault of half the requests had a p99 of 5.2 s (6 siblings) and 4.9 s (9): four errors are needed, and they take that long to arrive. Probes count apart from requests, so that a health endpoint that answers well hides nothing.

A viewpoint fault still ejected the server that gathered its evidence first.

--- a/detection/config.go
+++ b/detection/config.go
@@ -54,6 +54,12 @@
 	// scoreCeiling bounds each sum in units of the threshold, so that a server
 	// that recovered loses its score soon.
 	scoreCeiling = 1.5
+	// While a third of the servers have sharedSuspicion of the suspect score, the
+	// cause may be a common one that the others show later, and a server is bad
+	// only sharedWait after its score reached the threshold. Without this a
+	// viewpoint fault ejects the server that gathers its evidence first.
+	sharedSuspicion = 1.0 / 3
+	sharedWait      = 1500 * time.Millisecond
 	// minReferences is the least number of siblings to compare with.
 	minReferences = 2
 	// recentReports is the number of reports behind the centre of a server.
--- a/detection/detector.go
+++ b/detection/detector.go
@@ -37,10 +37,14 @@
 	kindErrors
 	kindWrong
 	kindHang
+	// Probes count apart, so that a health endpoint that answers well does not
+	// outweigh failed requests.
+	kindProbeErrors
+	kindProbeWrong
 	kinds
 )
 
-var causes = [kinds]string{"latency", "errors", "wrong", "hang"}
+var causes = [kinds]string{"latency", "errors", "wrong", "hang", "errors", "wrong"}
 
 // Floors of the failure rates of healthy servers.
 const (
@@ -65,6 +69,8 @@
 	pending []sample
 	recent  []sample
 	scores  [kinds]float64
+	// badSince is when the score reached the threshold; zero while it is below.
+	badSince time.Time
 	// Recomputed by each Evaluate from the recent reports.
 	known      bool
 	centers    [2]float64
@@ -121,26 +127,35 @@
 		}
 		m.pending = m.pending[:0]
 	}
-	return d.verdicts()
+	return d.verdicts(now)
 }
 
-func (d *Detector) verdicts() []Verdict {
+func (d *Detector) verdicts(now time.Time) []Verdict {
 	out := make([]Verdict, len(d.order))
-	known, suspected := 0, 0
+	known, suspected, elevated := 0, 0, 0
 	for i, m := range d.order {
 		out[i] = d.verdict(m)
-		if m.judged() {
-			known++
-			if m.total() >= d.cfg.Suspect {
-				suspected++
-			}
+		if !m.judged() {
+			continue
+		}
+		known++
+		if m.total() >= d.cfg.Suspect {
+			suspected++
+		}
+		if m.total() >= sharedSuspicion*d.cfg.Suspect {
+			elevated++
 		}
 	}
-	if 2*suspected <= known {
-		return out
-	}
-	for i := range out {
-		if out[i].Level == Bad {
+	shared := 3*elevated >= known
+	for i, m := range d.order {
+		if out[i].Level != Bad {
+			m.badSince = time.Time{}
+			continue
+		}
+		if m.badSince.IsZero() {
+			m.badSince = now
+		}
+		if 2*suspected > known || shared && now.Sub(m.badSince) < sharedWait {
 			out[i].Level = Suspected
 		}
 	}
@@ -255,14 +270,21 @@
 	if x.requests > 0 {
 		rate, _ := d.siblings(m, func(s *member) (float64, bool) { return s.errorRate, true })
 		healthy := min(max(rate, minErrorRate), 0.9)
-		d.add(m, kindErrors, min(countEvidence(x.errors, x.requests, healthy, faultyRate(healthy)), maxErrorEvidence))
+		d.addCount(m, kindErrors, x.errors-x.probeErrors, x.requests-x.probed, healthy, maxErrorEvidence)
+		d.addCount(m, kindProbeErrors, x.probeErrors, x.probed, healthy, maxErrorEvidence)
 		rate, _ = d.siblings(m, func(s *member) (float64, bool) { return s.wrongRate, true })
 		healthy = min(max(rate, minWrongRate), 0.9)
-		d.add(m, kindWrong, min(countEvidence(x.wrong, x.requests, healthy, faultyRate(healthy)), maxWrongEvidence))
+		d.addCount(m, kindWrong, x.wrong-x.probeWrong, x.requests-x.probed, healthy, maxWrongEvidence)
+		d.addCount(m, kindProbeWrong, x.probeWrong, x.probed, healthy, maxWrongEvidence)
 	}
 	d.addHang(m, x)
 }
 
+// addCount adds the evidence of k failures of n.
+func (d *Detector) addCount(m *member, kind int, k, n, healthy, most float64) {
+	d.add(m, kind, min(countEvidence(k, n, healthy, faultyRate(healthy)), most))
+}
+
 func (d *Detector) addLatency(m *member, x sample) {
 	if !x.hasLog {
 		return
--- a/detection/detector_test.go
+++ b/detection/detector_test.go
@@ -27,3 +27,39 @@
 		}
 	}
 }
+
+// Guards against a failed request that is not followed by probes while other
+// requests arrive, and against probes that never end.
+func TestFailedRequestIsConfirmed(t *testing.T) {
+	w := NewWindow(at(0), "a", "zone")
+	now := at(time.Second)
+	w.End(now, w.Begin(now), OK)
+	require.False(t, w.ProbeDue(now.Add(confirmAfter)))
+	w.End(now, w.Begin(now), Error)
+	for range confirmations {
+		now = now.Add(confirmAfter)
+		require.True(t, w.ProbeDue(now))
+		w.End(now, w.BeginProbe(now), OK)
+		w.End(now, w.Begin(now), OK)
+	}
+	require.False(t, w.ProbeDue(now.Add(confirmAfter)))
+}
+
+// Guards against a server whose health endpoint answers well and hides that its
+// requests fail.
+func TestHealthyProbesDoNotHideErrors(t *testing.T) {
+	d := NewDetector(Config{})
+	level := Healthy
+	for report := range 10 {
+		now := at(time.Duration(report) * ReportInterval)
+		for i := range 6 {
+			s := BackendStatus{BackendServer: strconv.Itoa(i), Requests: 3, LatencyP50: fakeMedian, InService: true}
+			if i == 0 {
+				s.Requests, s.Probes, s.Errors = 2+confirmations, confirmations, 1
+			}
+			d.Observe(now, s)
+		}
+		level = max(level, d.Evaluate(now)[0].Level)
+	}
+	require.Equal(t, Bad, level)
+}
--- a/detection/doc.go
+++ b/detection/doc.go
@@ -12,7 +12,8 @@
 // (MAD) of the log latencies.
 //
 // If more than half of the siblings look bad, the service is overloaded or the
-// viewpoint is at fault, and no server is judged bad. A server without a recent
+// viewpoint is at fault, and no server is judged bad. While a third of them show
+// some evidence, the decision waits for the others. A server without a recent
 // report is unknown and takes no part in the comparison.
 //
 // All types are deterministic, start no goroutine and are not safe for
--- a/detection/evidence.go
+++ b/detection/evidence.go
@@ -76,6 +76,8 @@
 	at            time.Time
 	requests      float64
 	errors, wrong float64
+	// The same of the probes, which are among them.
+	probed, probeErrors, probeWrong float64
 	// log is the logarithm of the median latency, probes tells whose it is.
 	log    float64
 	hasLog bool
@@ -84,6 +86,7 @@
 
 func newSample(at time.Time, s BackendStatus) sample {
 	x := sample{at: at, requests: float64(s.Requests), errors: float64(s.Errors), wrong: float64(s.Wrong)}
+	x.probed, x.probeErrors, x.probeWrong = float64(s.Probes), float64(s.ProbeErrors), float64(s.ProbeWrong)
 	if s.LatencyP50 > 0 {
 		x.log, x.hasLog = math.Log(float64(s.LatencyP50)), true
 		x.probes = s.Probes == s.Requests
@@ -92,4 +95,10 @@
 }
 
 // answers is the number of latencies behind the median.
-func (x sample) answers() float64 { return x.requests - x.errors - x.wrong }
+func (x sample) answers() float64 {
+	ok := x.requests - x.errors - x.wrong
+	if x.probes {
+		return ok
+	}
+	return ok - (x.probed - x.probeErrors - x.probeWrong)
+}
--- a/detection/experiment.go
+++ b/detection/experiment.go
@@ -197,6 +197,9 @@
 			return
 		case probeCheck:
 			f.nextCheck += probeCheckEvery
+			if f.x.Rate > 0 && f.window.confirm == 0 {
+				f.nextCheck = math.MaxInt64 // Requests come too often for other probes.
+			}
 			if f.window.ProbeDue(at(next)) {
 				f.call(next, f.window.BeginProbe(at(next)), fakeProbe)
 			}
@@ -265,6 +268,9 @@
 	c := f.inFlight[i]
 	f.inFlight = slices.Delete(f.inFlight, i, i+1)
 	f.window.End(at(c.end), c.id, c.outcome)
+	if f.window.confirm > 0 {
+		f.nextCheck = min(f.nextCheck, c.end+probeCheckEvery)
+	}
 	if f.x.Baseline > 0 && f.x.baseline.Result(f.name, c.outcome) {
 		f.x.baseline.Result(f.name, OK)
 		f.x.bad(c.end, f.name)
--- a/detection/status.go
+++ b/detection/status.go
@@ -16,10 +16,11 @@
 	// Probes counts the probes among Requests. Latencies are those of probes if
 	// it equals Requests, and of requests otherwise.
 	Probes uint32
-	// Errors counts failures and timeouts.
-	Errors uint32
-	// Wrong counts wrong, crossed and truncated answers.
-	Wrong uint32
+	// Errors counts failures and timeouts, ProbeErrors those of probes among them.
+	Errors, ProbeErrors uint32
+	// Wrong counts wrong, crossed and truncated answers, ProbeWrong those to
+	// probes among them.
+	Wrong, ProbeWrong uint32
 	// LatencyP50 and LatencyP90 cover correct answers; 0 if there were none.
 	LatencyP50, LatencyP90 time.Duration
 	// Oldest is the age of the oldest unfinished request or probe; 0 if none.
--- a/detection/window.go
+++ b/detection/window.go
@@ -114,6 +114,9 @@
 		w.judgeProbe(latency, o)
 	} else {
 		w.lastTraffic = now
+		if o != OK && o != Canceled {
+			w.confirm = confirmations
+		}
 	}
 	w.count(p.probe, latency, o)
 }
@@ -131,8 +134,14 @@
 		w.keep(probe, latency)
 	case Error, Timeout:
 		w.counts.Errors++
+		if probe {
+			w.counts.ProbeErrors++
+		}
 	default:
 		w.counts.Wrong++
+		if probe {
+			w.counts.ProbeWrong++
+		}
 	}
 	if !w.trial {
 		return
@@ -154,7 +163,9 @@
 	}
 }
 
-// judgeProbe asks for more probes soon after one that looks bad.
+// judgeProbe asks for more probes soon after one that looks bad. A failed
+// request asks for them too: at 5 requests/s the requests of two seconds are too
+// few to tell a faulty server from one with a single error.
 func (w *Window) judgeProbe(latency time.Duration, o Outcome) {
 	bad := o != OK
 	if o == OK {
@@ -179,7 +190,7 @@
 	if w.probing > 0 || !w.inService {
 		return false
 	}
-	if now.Sub(w.lastTraffic) < probeAfter {
+	if w.confirm == 0 && now.Sub(w.lastTraffic) < probeAfter {
 		return false
 	}
 	wait := probeEvery
