--- a/detection/window.go
+++ b/detection/window.go
@@ -8,6 +8,10 @@
 const (
 	// probeAfter is the time without traffic after which a probe is due.
 	probeAfter = 2 * time.Second
+	// probeEvery is the time between the probes of a quiet server. If half of
+	// the answers are bad, 1% of the servers pass the first six probes, so that
+	// probes every 2 s cannot find the fault within 5 s.
+	probeEvery = 500 * time.Millisecond
 	// confirmAfter is the time between probes while the last ones look bad.
 	confirmAfter = 50 * time.Millisecond
 	// confirmations is how many probes follow a probe that looks bad.
@@ -110,6 +114,9 @@
 		w.judgeProbe(latency, o)
 	} else {
 		w.lastTraffic = now
+		if o != OK && o != Canceled {
+			w.confirm = confirmations
+		}
 	}
 	w.count(p.probe, latency, o)
 }
@@ -127,8 +134,14 @@
 		w.keep(probe, latency)
 	case Error, Timeout:
 		w.counts.Errors++
+		if probe {
+			w.counts.ProbeErrors++
+		}
 	default:
 		w.counts.Wrong++
+		if probe {
+			w.counts.ProbeWrong++
+		}
 	}
 	if !w.trial {
 		return
@@ -150,8 +163,9 @@
 	}
 }
 
-// judgeProbe asks for more probes soon after one that looks bad, because one
-// probe every two seconds is not enough evidence within five seconds.
+// judgeProbe asks for more probes soon after one that looks bad. A failed
+// request asks for them too: at 5 requests/s the requests of two seconds are too
+// few to tell a faulty server from one with a single error.
 func (w *Window) judgeProbe(latency time.Duration, o Outcome) {
 	bad := o != OK
 	if o == OK {
@@ -176,10 +190,10 @@
 	if w.probing > 0 || !w.inService {
 		return false
 	}
-	if now.Sub(w.lastTraffic) < probeAfter {
+	if w.confirm == 0 && now.Sub(w.lastTraffic) < probeAfter {
 		return false
 	}
-	wait := probeAfter
+	wait := probeEvery
 	if w.confirm > 0 {
 		wait = confirmAfter
 	}
