Hedge only if the settings ask for it; limit retries after a lost backend

Cause: with hedging on for every service, TestGrayFailureIsEjectedAndReturns no longer found slow and hanging servers within 60 s, because the cancelled loser of a hedge leaves no latency to compare.

A request whose backend server was lost is tried at most twice, because it may be the cause of the crash; before, one request was seen to crash 11 to 13 servers until it was convicted.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -37,6 +37,10 @@
 	codeCrashingRequest = "crashing-request"
 )
 
+// codeBackendLost is the code of a connection that failed after the request was
+// sent, as when the backend server crashes.
+const codeBackendLost = "backend-lost"
+
 // dispatcher sends requests to one backend server.
 type dispatcher struct {
 	address string
@@ -201,7 +205,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return timeoutError(err)
 	}
-	return verdict.Lost("backend-lost", "connection to the backend server failed after the request was sent", err)
+	return verdict.Lost(codeBackendLost, "connection to the backend server failed after the request was sent", err)
 }
 
 // check inspects the head of an answer before any of it is passed on.
--- a/node/hedge.go
+++ b/node/hedge.go
@@ -21,7 +21,7 @@
 // one that answered or failed last.
 func (n *Node) hedged(ctx context.Context, r *request, first *ownerRef, next func() *ownerRef) (*answer, *ownerRef, error) {
 	after := n.forwarder.hedgeAfter
-	if after == 0 {
+	if after == 0 && n.settings.Limits.Hedge {
 		after = n.retries.hedgeDelay(r.service)
 	}
 	if after <= 0 || !r.idempotent || r.body.rest != nil {
--- a/node/perform.go
+++ b/node/perform.go
@@ -23,6 +23,9 @@
 	doneAttempts = 3
 	// maxStoredBytes is the largest answer that a home stores.
 	maxStoredBytes = 4 << 10
+	// maxCrashAttempts bounds the attempts of a request whose backend server was
+	// lost: it may be the cause, and no list of suspects is that fast.
+	maxCrashAttempts = 2
 	// replayedHeader marks an answer that the home had stored.
 	replayedHeader = "Idempotency-Replayed"
 )
@@ -98,6 +101,9 @@
 		n.metrics.redirects.Inc(1)
 		return true
 	}
+	if e.Code == codeBackendLost && attempts >= maxCrashAttempts {
+		return false
+	}
 	if !n.retries.allow(ctx, r, e.Verdict, attempts) {
 		return false
 	}
--- a/node/service_wire.go
+++ b/node/service_wire.go
@@ -17,6 +17,7 @@
 		Requests: s.Requests, Probes: s.Probes, Errors: s.Errors, Wrong: s.Wrong,
 		LatencyP50Us: s.LatencyP50.Microseconds(), LatencyP90Us: s.LatencyP90.Microseconds(), OldestUs: s.Oldest.Microseconds(),
 		InService: s.InService, Ejected: s.Ejected, TrialSuccesses: s.TrialSuccesses, TrialFailures: s.TrialFailures,
+		ProbeErrors: s.ProbeErrors, ProbeWrong: s.ProbeWrong,
 	}
 }
 
@@ -30,6 +31,7 @@
 		Errors: min(s.GetErrors(), s.GetRequests()), Wrong: min(s.GetWrong(), s.GetRequests()-min(s.GetErrors(), s.GetRequests())),
 		LatencyP50: micros(s.GetLatencyP50Us()), LatencyP90: micros(s.GetLatencyP90Us()), Oldest: micros(s.GetOldestUs()),
 		InService: s.GetInService(), Ejected: s.GetEjected(), TrialSuccesses: s.GetTrialSuccesses(), TrialFailures: s.GetTrialFailures(),
+		ProbeErrors: min(s.GetProbeErrors(), s.GetErrors(), s.GetProbes()), ProbeWrong: min(s.GetProbeWrong(), s.GetWrong(), s.GetProbes()),
 	}
 }
 
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -100,6 +100,12 @@
 			return
 		}
 		d.failType(path, value, "a string")
+	case reflect.Bool:
+		if b, ok := value.(bool); ok {
+			target.SetBool(b)
+			return
+		}
+		d.failType(path, value, "true or false")
 	case reflect.Int:
 		if number, ok := value.(int64); ok {
 			target.SetInt(number)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -105,6 +105,10 @@
 	HeaderReadTimeout Duration `toml:"header_read_timeout"`
 	// IdleTimeout closes a caller's connection without a request. Default 60s, from 1s to 1h.
 	IdleTimeout Duration `toml:"idle_timeout"`
+	// Hedge sends an idempotent request to a second owner when the first is slower
+	// than 95% of the service's requests. Default false, because the cancelled
+	// loser hides a slow backend server from detection.
+	Hedge bool `toml:"hedge"`
 	// MaxConnections bounds the open connections of callers. Default 4096, from 1 to 65536.
 	MaxConnections int `toml:"max_connections"`
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,10 +34,15 @@
 func TestDefaults(t *testing.T) {
 	s, err := Parse([]byte(minimal))
 	require.NoError(t, err)
-	require.Equal(t, Limits{65536, 64 << 20, Duration(5 * time.Second), Duration(time.Minute), 4096}, s.Limits)
+	require.Equal(t, Limits{65536, 64 << 20, Duration(5 * time.Second), Duration(time.Minute), false, 4096}, s.Limits)
 	require.Equal(t, Process{Duration(20 * time.Second), "info"}, s.Process)
 	require.Equal(t, 2*time.Second, s.Platform.Timeout.Std())
 	require.False(t, s.Link.TLS())
+	s, err = Parse([]byte(minimal + "[limits]\nhedge = true\n"))
+	require.NoError(t, err)
+	require.True(t, s.Limits.Hedge)
+	_, err = Parse([]byte(minimal + "[limits]\nhedge = \"yes\"\n"))
+	require.ErrorContains(t, err, "true or false")
 }
 
 // Guards against values that are accepted outside their range, and against
