Report readiness only when the homes of a node serve

A node was ready as soon as its placement was known, up to 2 s before its rate ledger had heard all members, and callers without a share were refused until then. Readiness now waits for the ledger, at most 8 s, because a member lost during an outage of the table never reports. 6 of 6 runs passed afterwards.

--- a/node/homes.go
+++ b/node/homes.go
@@ -31,7 +31,9 @@
 	// mu is locked before ledgerMu and before the locks of claims and services.
 	mu    sync.RWMutex
 	table *placement.Table // nil until the node knows where it stands
-	mine  []uint32         // partitions of this node in the table
+	// placedAt is when the node got its first table.
+	placedAt time.Time
+	mine     []uint32 // partitions of this node in the table
 	// activations are member versions attested by a quorum whose waiting time
 	// has not passed.
 	activations []activation
@@ -107,6 +109,24 @@
 	return h.table.Version()
 }
 
+// readyLimit is the time after which a node is ready although its ledger still
+// waits, for example for the report of a member that is lost during an outage of
+// the table.
+const readyLimit = 8 * time.Second
+
+// ready reports whether the homes of this node serve, so that callers are not
+// sent to a fleet that would refuse them for their rate.
+func (h *homes) ready(now time.Time) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.table == nil {
+		return false
+	}
+	h.ledgerMu.Lock()
+	defer h.ledgerMu.Unlock()
+	return !h.ledger.Recovering() || now.Sub(h.placedAt) > readyLimit
+}
+
 // forget drops the table, because the changes that lead to the present members
 // are not known one by one. Every partition of this node starts without memory.
 func (h *homes) forget() {
@@ -132,6 +152,9 @@
 // replace installs a table. h.mu is held.
 func (h *homes) replace(t *placement.Table, members map[string]configstore.Member, now time.Time) {
 	h.table = t
+	if h.placedAt.IsZero() {
+		h.placedAt = now
+	}
 	h.ledgerMu.Lock()
 	h.ledger.SetTerm(t.Version())
 	for _, m := range members {
--- a/node/server.go
+++ b/node/server.go
@@ -102,7 +102,7 @@
 		metrics.WriteJSONOnce(n.registry, w)
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if n.leavingNow.Load() || !n.fresh(time.Now()) || n.homes.version() == 0 {
+		if n.leavingNow.Load() || !n.fresh(time.Now()) || !n.homes.ready(time.Now()) {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -100,7 +100,9 @@
 // begin waits until all nodes are ready and puts the configuration into force.
 func (f *virtualFleet) begin(configuration string) {
 	f.t.Helper()
-	f.eventually("all nodes are ready", func() bool { return f.all(func(n *Node) bool { return n.fresh(time.Now()) && n.homes.version() > 0 }) })
+	f.eventually("all nodes are ready", func() bool {
+		return f.all(func(n *Node) bool { return n.fresh(time.Now()) && n.homes.ready(time.Now()) })
+	})
 	f.applyRules(configuration)
 	time.Sleep(time.Second) // Lets the owners' services reach every entry.
 }
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -201,6 +201,9 @@
 	return p != nil && p.recovery.done
 }
 
+// Recovering says whether partitions wait for their time to serve or for reports.
+func (l *Ledger) Recovering() bool { return len(l.recoveries) > 0 }
+
 // Free returns the free fraction of a team in ppm.
 func (l *Ledger) Free(team string) uint32 {
 	p := l.partitions[l.partitionOf(team)]
