Do not count a probe as a success of the cold-start ramp

A probe goes through the gate and was released as a success, so eight probes of the health endpoint raised a cold server to two slots; the stand-in needs six executions to warm up and a probe is none.

--- a/node/ejection_test.go
+++ b/node/ejection_test.go
@@ -227,3 +227,19 @@
 		_ = g.server(i).SetFaults(standin.Faults{CrashMarker: "poison"})
 	}
 }
+
+// Guards against a cold backend server that gets more slots because probes of its
+// health endpoint succeed.
+func TestProbesDoNotRaiseSlots(t *testing.T) {
+	runFleet(t, 6, func(f *virtualFleet) {
+		time.Sleep(time.Minute) // Without traffic there is a probe every 500 ms.
+		for _, n := range f.running() {
+			require.Positive(t, n.metrics.probes.Count())
+			for service, owned := range n.owner.byService() {
+				for _, b := range owned {
+					require.Equal(t, uint32(1), b.gate.Load().Limit, service)
+				}
+			}
+		}
+	})
+}
--- a/node/probe.go
+++ b/node/probe.go
@@ -84,7 +84,9 @@
 	id := b.watch.beginProbe(time.Now())
 	offer := &wire.Offer{RequestId: uuid.NewString(), Service: service, Method: http.MethodGet, Target: path, Host: b.dispatch.address, Idempotent: true}
 	err = b.dispatch.probe(ctx, offer)
-	seen, result := detection.OK, admission.Success
+	// An answered probe does not warm a cold backend server, so it must not raise
+	// the number of slots as a success does.
+	seen, result := detection.OK, admission.Canceled
 	if err != nil {
 		seen, result = detection.Error, admission.Failure
 		if errors.Is(ctx.Err(), context.Canceled) {
