Count broken slots and floors instead of ending the process

The default of both libraries is still to panic, which ends a test; a node passes its recorder, so that a fault is counted, logged and shown as a metric.

--- a/ejection/config.go
+++ b/ejection/config.go
@@ -24,9 +24,14 @@
 	// Retention is the time after the last report at which a server is forgotten
 	// (default 10 min).
 	Retention time.Duration
+	// Violated is told of a broken floor, a fault of this package. Default: panic.
+	Violated func(detail string)
 }
 
 func (c Config) withDefaults() Config {
+	if c.Violated == nil {
+		c.Violated = func(detail string) { panic("ejection: " + detail) }
+	}
 	for _, d := range []struct {
 		value    *time.Duration
 		standard time.Duration
--- a/ejection/permits.go
+++ b/ejection/permits.go
@@ -182,7 +182,7 @@
 		}
 	}
 	if attested-permits < p.floor {
-		panic(fmt.Sprintf("ejection: %d attested servers, %d permits, floor %d", attested, permits, p.floor))
+		p.cfg.Violated(fmt.Sprintf("%d attested servers, %d permits, floor %d", attested, permits, p.floor))
 	}
 }
 
--- a/node/backend.go
+++ b/node/backend.go
@@ -112,10 +112,10 @@
 	watch        *watch
 }
 
-func newBackend(name string, a announcement, w *watch) *backend {
+func newBackend(name string, a announcement, w *watch, checks *dispatchChecks) *backend {
 	return &backend{
 		name: name, announcement: a,
-		gate:     admission.NewGate(admission.Config{}),
+		gate:     admission.NewGate(admission.Config{Violated: checks.slotsViolated}),
 		dispatch: newDispatcher(a.Address, a.Connections),
 		watch:    w,
 	}
--- a/node/home_service.go
+++ b/node/home_service.go
@@ -117,7 +117,7 @@
 	}
 	home = &serviceHome{
 		id: fmt.Sprintf("%s/%s/%d", self, h.node.incarnation(), s.created), memory: memory,
-		detector: detection.NewDetector(detection.Config{}), permits: ejection.NewPermits(now, ejection.Config{}),
+		detector: detection.NewDetector(detection.Config{}), permits: ejection.NewPermits(now, ejection.Config{Violated: h.floorViolated}),
 		guard: crashguard.NewHome(), last: make(map[string]reportMark),
 		judged: make(map[string]ejection.Judgement), levels: make(map[string]detection.Level),
 	}
--- a/node/invariants.go
+++ b/node/invariants.go
@@ -94,3 +94,15 @@
 	refused := e.Code == "backend-shed" || e.Code == "backend-draining"
 	c.invariants.Check(refused || !written, invariant.NotRun, "request %s was sent but reported not run: %s", o.GetRequestId(), e.Code)
 }
+
+// slotsViolated records that a backend server was given more than its slots allow.
+func (c *dispatchChecks) slotsViolated(detail string) {
+	if c != nil {
+		c.invariants.Check(false, invariant.Slots, "%s", detail)
+	}
+}
+
+// floorViolated records that an ejection left less than the floor of a service.
+func (h *homes) floorViolated(detail string) {
+	h.node.invariants.Check(false, invariant.Floor, "%s", detail)
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -60,7 +60,7 @@
 		b = nil
 	}
 	if b == nil {
-		b = newBackend(name, a, o.watches.get(now, name, o.zone))
+		b = newBackend(name, a, o.watches.get(now, name, o.zone), o.checks)
 		b.dispatch.setDial(o.dial)
 		b.dispatch.checks = o.checks
 		o.backends[name] = b
