--- /dev/null
+++ b/node/latency_bench_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoildock.example/verdict"
+)
+
+// latencyRequests is the number of requests of one open-loop run.
+const latencyRequests = 4000
+
+// BenchmarkAddedLatency compares the latency of requests through an entry and an
+// owner with that of direct ones at half of the load that the nodes can carry.
+func BenchmarkAddedLatency(b *testing.B) {
+	backend := newHandlerBackend(b, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(verdict.RequestIDHeader, r.Header.Get(verdict.RequestIDHeader))
+		_, _ = w.Write(make([]byte, 1000))
+	})
+	f := newFleet(b, backend)
+	c := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 100}}
+	defer c.CloseIdleConnections()
+	nodes, direct := "http://"+f.address+"/shop/x", "http://"+backend+"/shop/x"
+	benchmarkBatch(b, c, nodes) // The ramp of the owner has to reach the announced slots.
+	start := time.Now()
+	benchmarkBatch(b, c, nodes)
+	interval := 2 * time.Since(start) / benchmarkBatchSize
+	for b.Loop() {
+		d, n := openLoop(b, c, direct, interval), openLoop(b, c, nodes, interval)
+		for name, q := range map[string]float64{"p50": 0.5, "p99": 0.99} {
+			b.ReportMetric(quantile(d, q).Seconds()*1e3, "direct-"+name+"-ms")
+			b.ReportMetric(quantile(n, q).Seconds()*1e3, "nodes-"+name+"-ms")
+		}
+	}
+	b.ReportMetric(1/interval.Seconds(), "requests/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// openLoop sends requests at a fixed interval whether or not earlier ones were
+// answered, and returns their latencies in order.
+func openLoop(b *testing.B, c *http.Client, url string, interval time.Duration) []time.Duration {
+	latencies := make([]time.Duration, latencyRequests)
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range latencies {
+		due := start.Add(time.Duration(i) * interval)
+		time.Sleep(time.Until(due))
+		wg.Go(func() {
+			benchmarkGet(b, c, url)
+			latencies[i] = time.Since(due) // From the time it was due: a late start counts.
+		})
+	}
+	wg.Wait()
+	slices.Sort(latencies)
+	return latencies
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
