--- a/cmd/trefoildock/backend.go
+++ b/cmd/trefoildock/backend.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"context"
-
-	"trefoildock.example/admin"
-)
+import "trefoildock.example/admin"
 
 // backendCmd groups the commands on backend servers.
 type backendCmd struct {
@@ -28,20 +24,10 @@
 
 // Run executes the command.
 func (c *backendOutCmd) Run(a *app) error {
-	return a.setBackendServer(&c.changeFlags, c.Name, admin.StateOut)
+	return a.setState(&c.changeFlags, c.Name, admin.StateOut, (*admin.Client).SetBackendServer)
 }
 
 // Run executes the command.
 func (c *backendInCmd) Run(a *app) error {
-	return a.setBackendServer(&c.changeFlags, c.Name, admin.StateIn)
-}
-
-func (a *app) setBackendServer(flags *changeFlags, name, state string) error {
-	return a.makeChange(flags, func(ctx context.Context, client *admin.Client, change admin.Change) error {
-		response, err := client.SetBackendServer(ctx, name, admin.StateRequest{Change: change, State: state})
-		if err != nil {
-			return err
-		}
-		return a.showChange(&response, true)
-	})
+	return a.setState(&c.changeFlags, c.Name, admin.StateIn, (*admin.Client).SetBackendServer)
 }
--- a/cmd/trefoildock/change.go
+++ b/cmd/trefoildock/change.go
@@ -73,3 +73,18 @@
 	}
 	return nil
 }
+
+// stateSetter is a client method that puts a zone or a backend server in or out
+// of service.
+type stateSetter func(c *admin.Client, ctx context.Context, name string, r admin.StateRequest) (admin.ChangeResponse, error)
+
+// setState puts the named zone or backend server in or out of service.
+func (a *app) setState(flags *changeFlags, name, state string, set stateSetter) error {
+	return a.makeChange(flags, func(ctx context.Context, client *admin.Client, change admin.Change) error {
+		response, err := set(client, ctx, name, admin.StateRequest{Change: change, State: state})
+		if err != nil {
+			return err
+		}
+		return a.showChange(&response, true)
+	})
+}
--- a/cmd/trefoildock/zone.go
+++ b/cmd/trefoildock/zone.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"context"
-
-	"trefoildock.example/admin"
-)
+import "trefoildock.example/admin"
 
 // zoneCmd groups the commands on availability zones.
 type zoneCmd struct {
@@ -28,20 +24,10 @@
 
 // Run executes the command.
 func (c *zoneOutCmd) Run(a *app) error {
-	return a.setZone(&c.changeFlags, c.Name, admin.StateOut)
+	return a.setState(&c.changeFlags, c.Name, admin.StateOut, (*admin.Client).SetZone)
 }
 
 // Run executes the command.
 func (c *zoneInCmd) Run(a *app) error {
-	return a.setZone(&c.changeFlags, c.Name, admin.StateIn)
-}
-
-func (a *app) setZone(flags *changeFlags, name, state string) error {
-	return a.makeChange(flags, func(ctx context.Context, client *admin.Client, change admin.Change) error {
-		response, err := client.SetZone(ctx, name, admin.StateRequest{Change: change, State: state})
-		if err != nil {
-			return err
-		}
-		return a.showChange(&response, true)
-	})
+	return a.setState(&c.changeFlags, c.Name, admin.StateIn, (*admin.Client).SetZone)
 }
