Draw the seeds of traffic goroutines before they start

The race detector found that the goroutines of a history drew their seeds from one generator at once.

--- a/node/history_test.go
+++ b/node/history_test.go
@@ -63,9 +63,11 @@
 
 func (h *history) run() {
 	for w := range 4 {
-		h.wg.Go(func() { h.sendOrders(rand.New(rand.NewPCG(uint64(w), h.rng.Uint64()))) })
+		rng := rand.New(rand.NewPCG(uint64(w), h.rng.Uint64()))
+		h.wg.Go(func() { h.sendOrders(rng) })
 	}
-	h.wg.Go(func() { h.sendSmallTeam(rand.New(rand.NewPCG(9, h.rng.Uint64()))) })
+	rng := rand.New(rand.NewPCG(9, h.rng.Uint64()))
+	h.wg.Go(func() { h.sendSmallTeam(rng) })
 	for start := time.Now(); time.Since(start) < historyLength; {
 		undo := []func(){h.fault()}
 		if h.rng.IntN(2) == 0 {
