Serve the users' platform: adapter, mesh packages and the sidecar command

The platform has a linearizable store that pushes changes, so configuration, evacuations, members and crash records are rows, and a node needs no log of deltas, no attesters and no homes by placement there. platform/ decodes the settings, rows, heartbeats and header fields; mesh/ holds the path: HTTP/1.1 with callers (h1), entry, owner, beliefs (fleet) and rates (quota). The exchange between entry and owner moved from node to link, and its envelopes to wire.

--- a/admission/config.go
+++ b/admission/config.go
@@ -17,6 +17,9 @@
 	// StepFactor is the ratio to the baseline latency above which an answer is
 	// not at normal latency (default 3).
 	StepFactor float64
+	// WarmStart lets a backend server that does not announce itself as cold start
+	// with all slots. Default: every backend server starts at one slot.
+	WarmStart bool
 	// Violated is told of a broken invariant, a fault of this package. Default: panic.
 	Violated func(detail string)
 	// RetryAfter is the hint given with refusals whose end is unknown (default 1 s).
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -65,6 +65,10 @@
 	return l
 }
 
+// Latency returns the moving average of the time that a request takes, or 0 if
+// it is unknown.
+func (c *Controller) Latency() time.Duration { return c.ramp.service }
+
 // State returns the service state.
 func (c *Controller) State() State { return c.state }
 
@@ -84,6 +88,7 @@
 	c.ramp.setCap(slots)
 	if a.Incarnation != c.incarnation {
 		c.incarnation = a.Incarnation
+		c.ramp.warm = c.cfg.WarmStart && !a.Cold
 		c.ramp.restart(true)
 	}
 	if slots == 0 {
@@ -154,6 +159,8 @@
 		return CodeTrial, c.cfg.RetryAfter
 	case c.state != Serving && c.state != Trial:
 		return c.state.String(), c.cfg.RetryAfter
+	case req.NoWait && (c.inFlight >= c.limit() || c.queued() > 0):
+		return CodeBusy, c.expectedWait(req)
 	case c.queue.teamLength(req.Team) >= c.cfg.TeamQueue:
 		return CodeQueueFull, c.expectedWait(req)
 	}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -105,6 +105,14 @@
 	return g.core.Load()
 }
 
+// Latency returns the moving average of the time that a request takes, or 0 if
+// it is unknown.
+func (g *Gate) Latency() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Latency()
+}
+
 // State returns the service state.
 func (g *Gate) State() State {
 	g.mu.Lock()
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,7 +14,9 @@
 // fairQueue serves teams by weighted deficit round robin. A team has state only
 // while it has waiting requests.
 type fairQueue struct {
-	teams  map[string]*teamQueue
+	teams map[string]*teamQueue
+	// urgent requests are served before those of the teams, in their order.
+	urgent []*entry
 	active []*teamQueue
 	cursor int
 	length int
@@ -32,6 +34,11 @@
 }
 
 func (q *fairQueue) push(e *entry) {
+	if e.req.Urgent {
+		q.urgent = append(q.urgent, e)
+		q.length++
+		return
+	}
 	t := q.teams[e.req.Team]
 	if t == nil {
 		t = &teamQueue{team: e.req.Team}
@@ -46,6 +53,11 @@
 // next removes the request whose turn it is. An exclusive request costs
 // exclusiveCost, because it occupies all slots.
 func (q *fairQueue) next(exclusiveCost int) *entry {
+	if len(q.urgent) > 0 {
+		e := q.urgent[0]
+		q.removeUrgent(0)
+		return e
+	}
 	for q.length > 0 {
 		t := q.active[q.cursor%len(q.active)]
 		if !t.visited {
@@ -68,7 +80,16 @@
 	return nil
 }
 
+func (q *fairQueue) removeUrgent(i int) {
+	q.urgent = slices.Delete(q.urgent, i, i+1)
+	q.length--
+}
+
 func (q *fairQueue) remove(e *entry) {
+	if i := slices.Index(q.urgent, e); i >= 0 {
+		q.removeUrgent(i)
+		return
+	}
 	if t := q.teams[e.req.Team]; t != nil {
 		if i := slices.Index(t.waiting, e); i >= 0 {
 			q.removeAt(t, i)
@@ -106,8 +127,12 @@
 
 // ahead estimates how many waiting requests are served before a new one of team.
 func (q *fairQueue) ahead(req Request) int {
+	n := len(q.urgent)
+	if req.Urgent {
+		return n
+	}
 	own := q.teamLength(req.Team)
-	n := own
+	n += own
 	for _, t := range q.active {
 		if t.team != req.Team {
 			n += min(len(t.waiting), (own+1)*t.weight/weightOf(req)+1)
@@ -118,7 +143,7 @@
 
 // all returns the waiting requests in ring order.
 func (q *fairQueue) all() []*entry {
-	out := make([]*entry, 0, q.length)
+	out := append(make([]*entry, 0, q.length), q.urgent...)
 	for _, t := range q.active {
 		out = append(out, t.waiting...)
 	}
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -19,6 +19,8 @@
 	service   time.Duration
 	// learned counts the answers in the baseline.
 	learned int
+	// warm makes a restart keep all slots.
+	warm bool
 	// recent tells which of the last answers were above normal latency.
 	recent []bool
 }
@@ -32,6 +34,9 @@
 // restart returns to one slot. The latency history is kept unless forget is set.
 func (r *ramp) restart(forget bool) {
 	r.limit = min(1, r.cap)
+	if r.warm {
+		r.limit = r.cap
+	}
 	r.successes = 0
 	r.recent = r.recent[:0]
 	if forget {
--- a/admission/types.go
+++ b/admission/types.go
@@ -43,6 +43,8 @@
 	CodeDeadline           = "deadline"
 	CodeReservationExpired = "reservation-expired"
 	CodeCanceled           = "canceled"
+	// CodeBusy refuses a request that does not wait while no slot is free.
+	CodeBusy = "busy"
 	// CodeTrial refuses a request that is not idempotent during a trial.
 	CodeTrial = "trial"
 )
@@ -64,6 +66,11 @@
 	Exclusive bool
 	// TwoPhase requests only reserve a slot until Commit.
 	TwoPhase bool
+	// NoWait requests are refused if no slot is free.
+	NoWait bool
+	// Urgent requests go before all others in the queue. They are calls of backend
+	// servers, whose own requests hold slots until the calls are answered.
+	Urgent bool
 }
 
 // Result is the outcome of a request that held a slot.
@@ -119,4 +126,6 @@
 	Connections int
 	// Incarnation changes with each start of the backend server.
 	Incarnation string
+	// Cold means that the backend server has just started.
+	Cold bool
 }
--- a/cmd/trefoildock/cli.go
+++ b/cmd/trefoildock/cli.go
@@ -34,6 +34,7 @@
 	Status  statusCmd  `cmd:"" help:"Show the cluster as the server's node sees it."`
 	Audit   auditCmd   `cmd:"" help:"Show who changed the configuration, when, how and at whose request."`
 	Node    nodeCmd    `cmd:"" help:"Run a node."`
+	Sidecar sidecarCmd `cmd:"" help:"Run a node on the platform whose settings file TREFOILDOCK_SETTINGS names."`
 	Version versionCmd `cmd:"" help:"Show the version of this program."`
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -99,9 +99,9 @@
 }
 
 // sessionConfig returns the yamux settings shared by both ends.
-func sessionConfig() *yamux.Config {
+func sessionConfig(quiet bool) *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.EnableKeepAlive = true
+	c.EnableKeepAlive = !quiet
 	c.KeepAliveInterval = keepAliveInterval
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = writeTimeout
@@ -116,9 +116,9 @@
 	return ok && t.IP.IsLoopback()
 }
 
-// checkPlain refuses a session without TLS outside loopback.
-func checkPlain(conn net.Conn, config *tls.Config) error {
-	if config != nil || isLoopback(conn.RemoteAddr()) {
+// checkPlain refuses a session without TLS outside loopback, unless it is allowed.
+func checkPlain(conn net.Conn, config *tls.Config, allowed bool) error {
+	if allowed || config != nil || isLoopback(conn.RemoteAddr()) {
 		return nil
 	}
 	return errors.Newf("plain text link with %s refused: only loopback may go without TLS", conn.RemoteAddr())
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -120,8 +120,8 @@
 
 // Guards against plain text on a network.
 func TestPlainTextOnlyOnLoopback(t *testing.T) {
-	require.Error(t, checkPlain(fakeConn{&net.TCPAddr{IP: net.IPv4(192, 0, 2, 1)}}, nil))
-	require.NoError(t, checkPlain(fakeConn{&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}, nil))
+	require.Error(t, checkPlain(fakeConn{&net.TCPAddr{IP: net.IPv4(192, 0, 2, 1)}}, nil, false))
+	require.NoError(t, checkPlain(fakeConn{&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}, nil, false))
 }
 
 type fakeConn struct{ remote net.Addr }
--- a/link/pool.go
+++ b/link/pool.go
@@ -19,6 +19,12 @@
 	Identity Identity
 	// TLS presents the client certificate; nil allows loopback only.
 	TLS *tls.Config
+	// Plain allows links without TLS outside loopback, on a network that only the
+	// nodes of the deployment can reach.
+	Plain bool
+	// QuietLinks leaves the detection of dead peers to the TCP keep-alive of the
+	// connections that Dial opens, which needs no processor time of the process.
+	QuietLinks bool
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -198,7 +204,7 @@
 	if err != nil {
 		return nil, Peer{}, errors.Wrapf(err, "dial %s", address)
 	}
-	if err := checkPlain(conn, p.TLS); err != nil {
+	if err := checkPlain(conn, p.TLS, p.Plain); err != nil {
 		conn.Close()
 		return nil, Peer{}, err
 	}
@@ -206,7 +212,7 @@
 	if err != nil {
 		return nil, Peer{}, err
 	}
-	mux, err := yamux.Client(newBatchConn(conn), sessionConfig())
+	mux, err := yamux.Client(newBatchConn(conn), sessionConfig(p.QuietLinks))
 	if err != nil {
 		conn.Close()
 		return nil, Peer{}, err
--- a/link/server.go
+++ b/link/server.go
@@ -28,6 +28,8 @@
 	Identity Identity
 	// TLS requires and verifies client certificates; nil allows loopback only.
 	TLS *tls.Config
+	// Plain and QuietLinks are those of Pool.
+	Plain, QuietLinks bool
 	// Handler serves the streams.
 	Handler Handler
 	// OnError is told of sessions that were refused or broke the protocol.
@@ -67,7 +69,7 @@
 
 func (s *Server) serveConn(conn net.Conn) error {
 	defer conn.Close()
-	if err := checkPlain(conn, s.TLS); err != nil {
+	if err := checkPlain(conn, s.TLS, s.Plain); err != nil {
 		return err
 	}
 	certificateName := ""
@@ -81,7 +83,7 @@
 		certificateName = peerName(tc)
 		conn = tc
 	}
-	sess, err := yamux.Server(newBatchConn(conn), sessionConfig())
+	sess, err := yamux.Server(newBatchConn(conn), sessionConfig(s.QuietLinks))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/mesh/entry/attempts.go
@@ -0,0 +1,359 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoildock.example/admission"
+	"trefoildock.example/mesh/fleet"
+	"trefoildock.example/mesh/h1"
+	"trefoildock.example/mesh/owner"
+	"trefoildock.example/retry"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+const (
+	// maxProbedOwners bounds the owners that are asked for a free slot before the
+	// request waits at one of them.
+	maxProbedOwners = 6
+	// ownerPoll is the time between two looks for an owner while none is known.
+	ownerPoll = 50 * time.Millisecond
+	// hedgeFactor is the ratio to the usual time of a route after which an
+	// idempotent request without an answer is sent to a second owner, and
+	// hedgeFloor the least such time.
+	hedgeFactor = 2.5
+	hedgeFloor  = 150 * time.Millisecond
+	// usualGain is the gain of the moving average of the time of a route.
+	usualGain = 1.0 / 16
+	// budgetShare is the part of the fleet's retry budget that the nodes use, as
+	// the requests of a window are not spread evenly.
+	budgetShare = 0.8
+	// slackShare is the part of the slack that is earned by time; the rest may be
+	// saved up.
+	slackShare = 0.5
+)
+
+// outcome is the end of one attempt.
+type outcome struct {
+	answer *h1.Answer
+	err    error
+}
+
+// failed reports whether another attempt may do better.
+func (o outcome) failed() bool {
+	return o.err != nil || o.answer.Status >= http.StatusInternalServerError
+}
+
+// run sends the request to owners until one answers, no repetition is allowed,
+// or the time is up.
+func (e *Entry) run(ctx context.Context, q *request) (*h1.Answer, error) {
+	budget := e.budget(q)
+	first := e.start(ctx, q)
+	var last outcome
+	select {
+	case last = <-first:
+	case <-e.hedgeTimer(ctx, q):
+		last = e.hedge(ctx, q, budget, first)
+	}
+	for last.failed() && e.mayRepeat(ctx, q, budget, last) {
+		e.cfg.Metrics.Retries.Inc(1)
+		e.cfg.Logger.Log("event", "request sent again", "request", q.id, "attempts", q.attempts.Load(), "code", codeOf(last))
+		next := <-e.start(ctx, q)
+		if next.err != nil && last.answer != nil {
+			break // The answer of the first backend server says more.
+		}
+		last = next
+	}
+	return last.answer, last.err
+}
+
+func codeOf(o outcome) string {
+	if o.err != nil {
+		return verdict.From(o.err).Code
+	}
+	return http.StatusText(o.answer.Status)
+}
+
+// start begins an attempt.
+func (e *Entry) start(ctx context.Context, q *request) <-chan outcome {
+	out := make(chan outcome, 1)
+	go func() {
+		a, err := e.attempt(ctx, q)
+		out <- outcome{a, err}
+	}()
+	return out
+}
+
+// hedgeTimer fires when an idempotent request takes unusually long; it is nil
+// if the request must not run twice.
+func (e *Entry) hedgeTimer(ctx context.Context, q *request) <-chan time.Time {
+	if !q.route.Idempotent || q.route.MaxAttempts < 2 {
+		return nil
+	}
+	e.mu.Lock()
+	usual := e.usual[q.route.Name]
+	e.mu.Unlock()
+	if usual == 0 {
+		return nil
+	}
+	wait := max(hedgeFloor, time.Duration(hedgeFactor*float64(usual)))
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
+		return nil
+	}
+	return time.After(wait)
+}
+
+// hedge sends a second attempt beside the first and takes the better outcome.
+func (e *Entry) hedge(ctx context.Context, q *request, budget *retry.Budget, first <-chan outcome) outcome {
+	e.mu.Lock()
+	allowed := q.attempts.Load() == 1 && budget.Hedge(time.Now(), q.retryRequest(1))
+	e.mu.Unlock()
+	if !allowed {
+		return <-first
+	}
+	e.cfg.Metrics.Hedges.Inc(1)
+	e.cfg.Logger.Log("event", "request hedged", "request", q.id)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // Ends the slower attempt.
+	second := e.start(ctx, q)
+	select {
+	case o := <-first:
+		if o.failed() {
+			return better(<-second, o)
+		}
+		return o
+	case o := <-second:
+		if o.failed() {
+			return better(<-first, o)
+		}
+		return o
+	}
+}
+
+// better returns the outcome that serves the caller more.
+func better(a, b outcome) outcome {
+	if a.failed() && b.answer != nil && a.answer == nil {
+		return b
+	}
+	return a
+}
+
+func (q *request) retryRequest(attempts int) retry.Request {
+	return retry.Request{Idempotent: q.route.Idempotent, Attempts: attempts, Deadline: q.deadline}
+}
+
+// mayRepeat decides whether the request is sent to another backend server.
+func (e *Entry) mayRepeat(ctx context.Context, q *request, budget *retry.Budget, last outcome) bool {
+	if ctx.Err() != nil || q.attempts.Load() == 0 || q.attempts.Load() >= int32(q.route.MaxAttempts) {
+		return false
+	}
+	v := verdict.MayHaveRun
+	if last.err != nil {
+		v = verdict.From(last.err).Verdict
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	request := q.retryRequest(int(q.attempts.Load()))
+	request.Expected = e.usual[q.route.Name]
+	return budget.May(time.Now(), request, v)
+}
+
+// budget returns the retry budget of the service and counts the request.
+func (e *Entry) budget(q *request) *retry.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	credits := e.credits(len(q.view.Nodes))
+	b := e.budgets[q.service]
+	if b == nil {
+		b = retry.NewBudgetOf(time.Now(), credits)
+		e.budgets[q.service] = b
+	}
+	b.SetCredits(credits)
+	b.Request(time.Now())
+	return b
+}
+
+// credits deals the slack of the fleet's budget out to the nodes.
+func (e *Entry) credits(nodes int) retry.Credits {
+	b := e.cfg.Bounds
+	slack := budgetShare * b.RetrySlack / float64(max(nodes, 1))
+	return retry.Credits{
+		PerRequest: budgetShare * b.RetryRatio,
+		PerSecond:  slackShare * slack / max(b.RetryWindow.Seconds(), 1),
+		Max:        max((1-slackShare)*slack, 1),
+	}
+}
+
+// attempt finds an owner with a free slot and lets it run the request.
+func (e *Entry) attempt(ctx context.Context, q *request) (*h1.Answer, error) {
+	r, o, err := e.reserve(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	q.attempts.Add(1)
+	started := time.Now()
+	e.cfg.Logger.Log("event", "request sent", "request", q.id, "owner", r.member.Node, "zone", r.member.Zone,
+		"backend", r.member.BackendID(), "left_ms", time.Until(q.deadline).Milliseconds(), "members", q.view.Revision)
+	a, err := e.commit(ctx, r, o, q.Payload)
+	if err == nil && a.Status < http.StatusInternalServerError {
+		e.learn(q.route.Name, time.Since(started))
+	}
+	return a, err
+}
+
+// learn updates the usual time of a route.
+func (e *Entry) learn(route string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	usual, known := e.usual[route]
+	if !known {
+		e.usual[route] = took
+		return
+	}
+	e.usual[route] = usual + time.Duration(usualGain*float64(min(took, 4*usual)-usual))
+}
+
+// reserve asks the owners of the service one after the other for a free slot.
+// If all are busy the request waits at the one that suits best.
+func (e *Entry) reserve(ctx context.Context, q *request) (*reservation, *wire.Offer, error) {
+	var failure error
+	for view := q.view; ; view = e.cfg.Fleet.View() {
+		owners := e.candidates(q, view)
+		r, o, best, err := e.probe(ctx, q, owners)
+		if r != nil || ctx.Err() != nil {
+			return r, o, expired(ctx, err)
+		}
+		if best != nil {
+			o = e.offerFor(q, best.mode)
+			r, err = e.offer(ctx, best.member, o)
+			if err == nil {
+				e.markTried(q, best.member)
+				return r, o, nil
+			}
+		}
+		failure = err
+		if failure == nil {
+			failure = verdict.Refuse("no-owner", "no backend server of the service is known", retryAfter)
+		}
+		if !q.keepWaiting(time.Now()) {
+			return nil, nil, failure
+		}
+		sleep(ctx, ownerPoll)
+		if ctx.Err() != nil {
+			return nil, nil, expired(ctx, failure)
+		}
+	}
+}
+
+// keepWaiting reports whether it is still worth looking for an owner: an answer
+// within the goal must remain possible.
+func (q *request) keepWaiting(now time.Time) bool {
+	until := q.deadline
+	if goal := q.route.Goal; goal > 0 && q.Received.Add(goal/2).Before(until) {
+		until = q.Received.Add(goal / 2)
+	}
+	return now.Before(until)
+}
+
+// expired is the error of a request whose time is up before anything ran.
+func expired(ctx context.Context, err error) error {
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	e := verdict.Refuse("not-started", "no backend server was free in time", retryAfter)
+	e.Cause = err
+	return e
+}
+
+// candidates returns the owners that were not tried, the best first.
+func (e *Entry) candidates(q *request, view *fleet.View) []*fleet.Member {
+	e.mu.Lock()
+	var out []*fleet.Member
+	for _, m := range view.Owners[q.service] {
+		if !q.tried[m.Node] {
+			out = append(out, m)
+		}
+	}
+	e.mu.Unlock()
+	return e.peers.rank(out, e.cfg.Zone, time.Now())
+}
+
+func (e *Entry) markTried(q *request, m *fleet.Member) {
+	e.mu.Lock()
+	q.tried[m.Node] = true
+	e.mu.Unlock()
+}
+
+// offerMode says how an owner treats an offer.
+type offerMode uint8
+
+const (
+	noWait offerMode = iota
+	queue
+	lastResort
+)
+
+// fallback is an owner that may take the request although it refused at first.
+type fallback struct {
+	member *fleet.Member
+	mode   offerMode
+}
+
+// probe offers the request to one owner after the other. Without a free slot it
+// returns the owner to wait at.
+func (e *Entry) probe(ctx context.Context, q *request, owners []*fleet.Member) (*reservation, *wire.Offer, *fallback, error) {
+	var busy, suspected *fleet.Member
+	var failure error
+	for i, m := range owners {
+		if i == maxProbedOwners || ctx.Err() != nil {
+			break
+		}
+		o := e.offerFor(q, noWait)
+		r, err := e.offer(ctx, m, o)
+		if err == nil {
+			e.markTried(q, m)
+			return r, o, nil, nil
+		}
+		failure = err
+		switch verdict.From(err).Code {
+		case admission.CodeBusy:
+			if busy == nil {
+				busy = m
+			}
+		case owner.CodeSuspected:
+			if suspected == nil {
+				suspected = m
+			}
+		}
+	}
+	switch {
+	case busy != nil:
+		return nil, nil, &fallback{busy, queue}, failure
+	case suspected != nil:
+		return nil, nil, &fallback{suspected, lastResort}, failure
+	default:
+		return nil, nil, nil, failure
+	}
+}
+
+// offerFor returns the offer of one attempt.
+func (e *Entry) offerFor(q *request, mode offerMode) *wire.Offer {
+	o := proto.CloneOf(q.offer)
+	o.TimeoutUs = max(time.Until(q.deadline).Microseconds(), 1)
+	o.NoWait = mode == noWait
+	o.LastResort = mode == lastResort
+	return o
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/mesh/process/sockets.go
@@ -0,0 +1,131 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"trefoildock.example/platform"
+)
+
+const (
+	// dialTimeout bounds a connection to another node, which takes 3 ms between zones.
+	dialTimeout = 700 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead peer on
+	// an idle link within 4 s, by the kernel alone.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// unackedTimeout closes a link whose peer acknowledges nothing.
+	unackedTimeout = 2 * time.Second
+	// httpTimeout bounds one request of the machine's own backend server or of the platform.
+	httpTimeout = 5 * time.Second
+)
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
+// dialPeer opens a link connection.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// setUserTimeout bounds the time for which sent data may stay unacknowledged.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
+// listen opens all sockets and starts their servers.
+func (n *Node) listen() error {
+	links, err := n.open("link", n.linkAddress(), net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout})
+	if err != nil {
+		return err
+	}
+	n.wg.Go(func() { _ = n.server.Serve(links) }) // Ends when the listener closes.
+	announce, err := n.open("announcements", n.settings.ListenAnnounce, net.ListenConfig{})
+	if err != nil {
+		return err
+	}
+	n.serveHTTP(announce, platform.AnnouncementHandler(n))
+	ready, err := n.open("readiness", n.settings.ListenReady, net.ListenConfig{})
+	if err != nil {
+		return err
+	}
+	n.serveHTTP(ready, platform.ReadyHandler(n.ready))
+	if n.metricsAddress != "" {
+		ln, err := n.open("metrics", n.metricsAddress, net.ListenConfig{})
+		if err != nil {
+			return err
+		}
+		n.serveHTTP(ln, http.HandlerFunc(n.serveMetrics))
+	}
+	callers, err := n.open("callers", n.settings.ListenCallers, net.ListenConfig{})
+	if err != nil {
+		return err
+	}
+	n.wg.Go(func() { _ = n.front.Serve(callers) }) // Ends when the listener closes.
+	return nil
+}
+
+func (n *Node) open(purpose, address string, c net.ListenConfig) (net.Listener, error) {
+	ln, err := c.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s on %s", purpose, address)
+	}
+	n.listeners = append(n.listeners, ln)
+	return ln, nil
+}
+
+func (n *Node) serveHTTP(ln net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: httpTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: time.Minute}
+	n.http = append(n.http, s)
+	n.wg.Go(func() { _ = s.Serve(ln) }) // Ends with Close.
+}
+
+// serveMetrics writes the metrics as text, one value per line.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	var lines []string
+	n.registry.Each(func(name string, m any) {
+		name = metricName(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g", name, q, s.Percentile(q)))
+			}
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
+		}
+	})
+	slices.Sort(lines)
+	for _, line := range lines {
+		fmt.Fprintln(w, line) //nolint:errcheck // The reader may be gone.
+	}
+}
+
+// metricName maps the registry's names to the common text form.
+func metricName(name string) string {
+	out := []byte("trefoildock_" + name)
+	for i, c := range out {
+		if c == '.' || c == '-' {
+			out[i] = '_'
+		}
+	}
+	return string(out)
+}
--- /dev/null
+++ b/mesh/quota/ledger.go
@@ -0,0 +1,93 @@
+// Package quota keeps the rates of teams over all nodes.
+//
+// One node, the home, holds a lease in the platform's store and gives out
+// single requests from one token bucket per team. The other nodes ask it for
+// each request of a team with a limit. While there is no home, every node may
+// spend its part of the overrun that the deployment tolerates.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"trefoildock.example/routing"
+)
+
+// Ledger holds the token buckets of a home. It is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	// started is when the ledger began to give out requests; full means that no
+	// other home was there before.
+	started time.Time
+	full    bool
+}
+
+type bucket struct {
+	tokens float64
+	last   time.Time
+}
+
+// NewLedger returns an empty ledger. If full is set, buckets start with the
+// whole burst; otherwise an earlier home may have given it out a moment ago.
+func NewLedger(now time.Time, full bool) *Ledger {
+	return &Ledger{buckets: make(map[string]*bucket), started: now, full: full}
+}
+
+// Take gives out up to n requests of the team. If it gives none, it returns the
+// time until one is available.
+func (l *Ledger) Take(now time.Time, team *routing.Team, n int) (granted int, wait time.Duration) {
+	if team.Rate <= 0 {
+		return n, 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(now, team)
+	granted = min(n, int(b.tokens))
+	if granted <= 0 {
+		return 0, time.Duration((1 - b.tokens) / team.Rate * float64(time.Second))
+	}
+	b.tokens -= float64(granted)
+	return granted, 0
+}
+
+// bucket returns the bucket of a team, filled up to now.
+func (l *Ledger) bucket(now time.Time, team *routing.Team) *bucket {
+	b := l.buckets[team.Name]
+	depth := max(team.Burst, 1)
+	if b == nil {
+		b = &bucket{last: l.started}
+		if l.full {
+			b.tokens = depth
+		}
+		l.buckets[team.Name] = b
+	}
+	if d := now.Sub(b.last); d > 0 {
+		b.tokens += team.Rate * d.Seconds()
+		b.last = now
+	}
+	b.tokens = min(b.tokens, depth)
+	return b
+}
+
+// Allowance is the part of the tolerated overrun that one node may spend while
+// there is no home.
+type Allowance struct {
+	// Window, Over and Slack are the bounds of the deployment: within a window a
+	// team may exceed rate and burst by the share Over and the number Slack.
+	Window      time.Duration
+	Over, Slack float64
+}
+
+// team returns a limit that keeps n nodes together within the allowance.
+func (a Allowance) team(t *routing.Team, nodes int) (*routing.Team, bool) {
+	seconds := a.Window.Seconds()
+	if seconds <= 0 || nodes < 1 {
+		return nil, false
+	}
+	part := ((t.Rate*seconds+t.Burst)*a.Over + a.Slack) / float64(nodes)
+	if part <= 1 {
+		return nil, false
+	}
+	return &routing.Team{Name: t.Name, Rate: (part - 1) / seconds, Burst: 1}, true
+}
--- a/node/calls.go
+++ b/node/calls.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	_ = s.Send(answerEnvelope(answer)) // A peer that has gone needs no answer.
+	_ = s.Send(wire.AnswerEnvelope(answer)) // A peer that has gone needs no answer.
 	return nil
 }
 
--- a/node/execute.go
+++ b/node/execute.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoildock.example/admission"
+	"trefoildock.example/link"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -20,7 +21,7 @@
 // execute dispatches an admitted request and streams the answer to the entry.
 // finish frees the slot once the backend server is done with the request, so
 // that the load sent with the end of the answer is current.
-func (o *owner) execute(ctx context.Context, x exchange, b *backend, t *task, offer *wire.Offer, in *incoming, finish func(admission.Result)) (result admission.Result, err error) {
+func (o *owner) execute(ctx context.Context, x link.Exchange, b *backend, t *task, offer *wire.Offer, in *incoming, finish func(admission.Result)) (result admission.Result, err error) {
 	o.metrics.dispatched.Inc(1)
 	defer func() {
 		if err != nil && verdict.From(err).Code == codeWrongAnswer {
@@ -43,7 +44,7 @@
 // closeWhenDone closes the exchange if the request ends early, so that a write to
 // an entry that no longer reads does not hold the slot. After a passed deadline
 // the entry is first told about it.
-func closeWhenDone(ctx context.Context, x exchange) (stop func() bool) {
+func closeWhenDone(ctx context.Context, x link.Exchange) (stop func() bool) {
 	return context.AfterFunc(ctx, func() {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			time.AfterFunc(abortGrace, func() { x.Close() })
@@ -61,8 +62,8 @@
 }
 
 // relay sends head, body and end. A short answer goes out in one write.
-func (o *owner) relay(ctx context.Context, x exchange, resp *http.Response, offer *wire.Offer, finish func(admission.Result)) error {
-	pending := []*wire.Envelope{headEnvelope(&wire.Head{
+func (o *owner) relay(ctx context.Context, x link.Exchange, resp *http.Response, offer *wire.Offer, finish func(admission.Result)) error {
+	pending := []*wire.Envelope{wire.HeadEnvelope(&wire.Head{
 		Status: uint32(resp.StatusCode), RequestId: offer.GetRequestId(),
 		Fields: responseFields(resp.Header), ContentLength: resp.ContentLength,
 	})}
@@ -77,14 +78,14 @@
 		sent += int64(n)
 		digest.write(buf[:n])
 		if n > 0 {
-			pending = append(pending, chunkEnvelope(buf[:n], false))
+			pending = append(pending, wire.ChunkEnvelope(buf[:n], false))
 		}
 		if errors.Is(err, io.EOF) {
 			if !digest.matches() {
 				return wrongAnswer("the body does not match its Content-Digest")
 			}
 			finish(answerResult(resp.StatusCode))
-			end := endEnvelope(&wire.End{BodyBytes: sent, Load: o.load(offer.GetService())})
+			end := wire.EndEnvelope(&wire.End{BodyBytes: sent, Load: o.load(offer.GetService())})
 			return send(x, append(pending, end))
 		}
 		if err != nil {
@@ -118,7 +119,7 @@
 	return verdict.Lost("answer-cut", "the backend server's answer ended early", err)
 }
 
-func send(x exchange, es []*wire.Envelope) error {
+func send(x link.Exchange, es []*wire.Envelope) error {
 	if err := x.Send(es...); err != nil {
 		return verdict.Lost("entry-gone", "the entry closed the stream", err)
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -19,7 +19,7 @@
 	pool  *link.Pool
 	loads *loadTable
 	// serveLocal handles the owner's end of an in-process exchange.
-	serveLocal func(x exchange, offer *wire.Offer)
+	serveLocal func(x link.Exchange, offer *wire.Offer)
 	metrics    *trafficMetrics
 	// hedgeAfter is the time after which an idempotent request without an answer
 	// is sent to a second owner; 0 turns hedging off.
@@ -45,7 +45,7 @@
 		stop()
 		x.Close()
 	} else {
-		a.rest.x = &ownedExchange{exchange: x, stop: stop}
+		a.rest.x = &ownedExchange{Exchange: x, stop: stop}
 	}
 	if err != nil {
 		body.revoke()
@@ -56,19 +56,19 @@
 
 // ownedExchange detaches the deadline when the reader of a long answer closes it.
 type ownedExchange struct {
-	exchange
+	link.Exchange
 	stop func() bool
 }
 
 // Close ends the exchange.
 func (x *ownedExchange) Close() error {
 	x.stop()
-	return x.exchange.Close()
+	return x.Exchange.Close()
 }
 
-func (f *forwarder) open(ctx context.Context, o *ownerRef, r *request) (exchange, error) {
+func (f *forwarder) open(ctx context.Context, o *ownerRef, r *request) (link.Exchange, error) {
 	if o.node == f.self {
-		entry, owner := newLocalExchange()
+		entry, owner := link.NewLocalExchange()
 		deadline, _ := ctx.Deadline()
 		go f.serveLocal(owner, r.offer(deadline))
 		return entry, nil
@@ -85,17 +85,17 @@
 }
 
 // converse runs the request protocol on an open exchange.
-func (f *forwarder) converse(ctx context.Context, x exchange, o *ownerRef, r *request, body *bodySender) (*answer, error) {
+func (f *forwarder) converse(ctx context.Context, x link.Exchange, o *ownerRef, r *request, body *bodySender) (*answer, error) {
 	deadline, _ := ctx.Deadline()
 	var first []*wire.Envelope
 	if o.node != f.self {
-		first = []*wire.Envelope{offerEnvelope(r.offer(deadline))}
+		first = []*wire.Envelope{wire.OfferEnvelope(r.offer(deadline))}
 	}
 	if r.twoPhase() {
 		if err := f.reserve(x, o, r, first); err != nil {
 			return nil, err
 		}
-		first = []*wire.Envelope{commitEnvelope()}
+		first = []*wire.Envelope{wire.CommitEnvelope()}
 	}
 	if err := f.sendBody(x, body, first); err != nil {
 		return nil, err
@@ -106,7 +106,7 @@
 // reserve sends the offer of a request that is not idempotent and waits for the
 // owner's reservation. Without a commit the owner runs nothing, so every
 // failure here is NotRun.
-func (f *forwarder) reserve(x exchange, o *ownerRef, r *request, offer []*wire.Envelope) error {
+func (f *forwarder) reserve(x link.Exchange, o *ownerRef, r *request, offer []*wire.Envelope) error {
 	lost := func(cause error) error {
 		return &verdict.Error{
 			Verdict: verdict.NotRun, Status: 503, Code: "offer-lost",
@@ -128,7 +128,7 @@
 		return nil
 	case *wire.Envelope_Abort:
 		f.loads.update(o.node, r.service, m.Abort.GetLoad())
-		return abortError(m.Abort)
+		return wire.AbortError(m.Abort)
 	default:
 		return lost(errors.New("unexpected message"))
 	}
@@ -136,7 +136,7 @@
 
 // sendBody sends the body. A body that is not buffered is streamed beside the
 // answer, because a backend server may answer before it has read all of it.
-func (f *forwarder) sendBody(x exchange, body *bodySender, first []*wire.Envelope) error {
+func (f *forwarder) sendBody(x link.Exchange, body *bodySender, first []*wire.Envelope) error {
 	if body.rest != nil {
 		go func() {
 			if err := body.send(x, first...); err != nil {
@@ -152,7 +152,7 @@
 }
 
 // receive reads the head and up to bufferBytes of the body.
-func (f *forwarder) receive(x exchange, o *ownerRef, r *request) (*answer, error) {
+func (f *forwarder) receive(x link.Exchange, o *ownerRef, r *request) (*answer, error) {
 	e, err := x.Recv()
 	if err != nil {
 		f.loads.fail(o.node, r.service)
@@ -161,7 +161,7 @@
 	update := func(l *wire.Load) { f.loads.update(o.node, r.service, l) }
 	if a := e.GetAbort(); a != nil {
 		update(a.GetLoad())
-		return nil, abortError(a)
+		return nil, wire.AbortError(a)
 	}
 	head := e.GetHead()
 	if head == nil {
--- a/node/incoming.go
+++ b/node/incoming.go
@@ -7,13 +7,14 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoildock.example/link"
 	"trefoildock.example/wire"
 )
 
 // incoming reads the entry's side of a request stream at the owner: the commit,
 // the body, and the end that means cancellation.
 type incoming struct {
-	x         exchange
+	x         link.Exchange
 	ctx       context.Context
 	cancel    func()
 	committed chan struct{}
@@ -27,7 +28,7 @@
 // the backend server sees a broken request and not a short one.
 var errBodyCut = errors.New("request body ended before its last chunk")
 
-func newIncoming(ctx context.Context, x exchange, cancel func()) *incoming {
+func newIncoming(ctx context.Context, x link.Exchange, cancel func()) *incoming {
 	return &incoming{x: x, ctx: ctx, cancel: cancel, committed: make(chan struct{}), chunks: make(chan *wire.Chunk, 1)}
 }
 
--- a/node/once_test.go
+++ b/node/once_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"trefoildock.example/link"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -113,11 +114,11 @@
 	offer := &wire.Offer{RequestId: "r", Service: "shop", Method: "POST", Target: "/x", Host: "h", TimeoutUs: 5e6, TwoPhase: true, ContentLength: 2}
 	for name, sent := range map[string][]*wire.Envelope{
 		"lost at once":      nil,
-		"body, no commit":   {chunkEnvelope([]byte("hi"), true)},
-		"unexpected answer": {endEnvelope(&wire.End{})},
+		"body, no commit":   {wire.ChunkEnvelope([]byte("hi"), true)},
+		"unexpected answer": {wire.EndEnvelope(&wire.End{})},
 	} {
 		t.Run(name, func(t *testing.T) {
-			entry, owner := newLocalExchange()
+			entry, owner := link.NewLocalExchange()
 			done := make(chan struct{})
 			go func() { defer close(done); o.serve(owner, offer) }()
 			e, err := entry.Recv()
@@ -137,9 +138,9 @@
 func TestVerdictOfLostOffer(t *testing.T) {
 	for _, commit := range []bool{false, true} {
 		f := &forwarder{self: "n", loads: newLoadTable(), metrics: newTrafficMetrics(bareNode(t, "n").registry)}
-		f.serveLocal = func(x exchange, _ *wire.Offer) {
+		f.serveLocal = func(x link.Exchange, _ *wire.Offer) {
 			if commit {
-				_ = x.Send(admittedEnvelope(&wire.Load{}))
+				_ = x.Send(wire.AdmittedEnvelope(&wire.Load{}))
 				_, _ = x.Recv()
 			}
 			x.Close()
--- a/node/owner.go
+++ b/node/owner.go
@@ -13,6 +13,7 @@
 	"trefoildock.example/admission"
 	"trefoildock.example/crashguard"
 	"trefoildock.example/detection"
+	"trefoildock.example/link"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -211,7 +212,7 @@
 }
 
 // serve handles one request stream from an entry.
-func (o *owner) serve(x exchange, offer *wire.Offer) {
+func (o *owner) serve(x link.Exchange, offer *wire.Offer) {
 	defer x.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(offer.GetTimeoutUs())*time.Microsecond)
 	defer cancel()
@@ -220,11 +221,11 @@
 		if e.Code == admission.CodeTrial {
 			load.Weight = 0 // To a request that is not idempotent a trial is out of service.
 		}
-		_ = x.Send(abortEnvelope(e, load)) // The entry may be gone.
+		_ = x.Send(wire.AbortEnvelope(e, load)) // The entry may be gone.
 	}
 }
 
-func (o *owner) run(ctx context.Context, cancel func(), x exchange, offer *wire.Offer) error {
+func (o *owner) run(ctx context.Context, cancel func(), x link.Exchange, offer *wire.Offer) error {
 	b := o.pick(offer.GetService())
 	if b == nil {
 		return verdict.Refuse("not-owner", "this node owns no backend server of the service", time.Second)
@@ -269,7 +270,7 @@
 }
 
 // admit waits for a slot and, for a two-phase request, for the entry's commit.
-func (o *owner) admit(ctx context.Context, x exchange, b *backend, offer *wire.Offer, in *incoming) (func(admission.Result), error) {
+func (o *owner) admit(ctx context.Context, x link.Exchange, b *backend, offer *wire.Offer, in *incoming) (func(admission.Result), error) {
 	standing := b.watch.standing(time.Now(), fingerprintFrom(offer.GetFingerprint()))
 	if standing == crashguard.Convicted {
 		return nil, o.countRefusal(crashingRequest())
@@ -287,7 +288,7 @@
 	if err != nil {
 		return nil, refused(err)
 	}
-	if err := x.Send(admittedEnvelope(o.load(offer.GetService()))); err != nil {
+	if err := x.Send(wire.AdmittedEnvelope(o.load(offer.GetService()))); err != nil {
 		res.Release(admission.Canceled)
 		return nil, refused(err)
 	}
--- a/node/request.go
+++ b/node/request.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoildock.example/crashguard"
+	"trefoildock.example/link"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -154,13 +155,13 @@
 var errBodyUsed = errors.New("the body was sent by another attempt")
 
 // send writes the body as chunks. first is sent together with the first chunk.
-func (s *bodySender) send(x exchange, first ...*wire.Envelope) error {
+func (s *bodySender) send(x link.Exchange, first ...*wire.Envelope) error {
 	if s.length == 0 {
 		return sendAll(x, first)
 	}
 	whole := s.rest == nil
 	if len(s.prefix) <= wire.ChunkBytes {
-		if err := x.Send(append(first, chunkEnvelope(s.prefix, whole))...); err != nil {
+		if err := x.Send(append(first, wire.ChunkEnvelope(s.prefix, whole))...); err != nil {
 			return err
 		}
 	} else if err := s.sendPrefix(x, first); err != nil {
@@ -175,21 +176,21 @@
 	return s.sendRest(x)
 }
 
-func sendAll(x exchange, es []*wire.Envelope) error {
+func sendAll(x link.Exchange, es []*wire.Envelope) error {
 	if len(es) == 0 {
 		return nil
 	}
 	return x.Send(es...)
 }
 
-func (s *bodySender) sendPrefix(x exchange, first []*wire.Envelope) error {
+func (s *bodySender) sendPrefix(x link.Exchange, first []*wire.Envelope) error {
 	if err := sendAll(x, first); err != nil {
 		return err
 	}
 	for data := s.prefix; len(data) > 0; {
 		n := min(len(data), wire.ChunkBytes)
 		last := n == len(data) && s.rest == nil
-		if err := x.Send(chunkEnvelope(data[:n], last)); err != nil {
+		if err := x.Send(wire.ChunkEnvelope(data[:n], last)); err != nil {
 			return err
 		}
 		data = data[n:]
@@ -199,18 +200,18 @@
 
 // sendRest streams the part of a body that is not buffered. The end of the body
 // is announced only after the caller has sent all of it.
-func (s *bodySender) sendRest(x exchange) error {
+func (s *bodySender) sendRest(x link.Exchange) error {
 	for {
 		buf := make([]byte, wire.ChunkBytes) // Not reused: an in-process exchange keeps it.
 		n, err := readChunk(s.rest, buf, true)
 		if errors.Is(err, io.EOF) {
-			return x.Send(chunkEnvelope(buf[:n], true))
+			return x.Send(wire.ChunkEnvelope(buf[:n], true))
 		}
 		if err != nil {
 			s.fail(err)
 			return err
 		}
-		if err := x.Send(chunkEnvelope(buf[:n], false)); err != nil {
+		if err := x.Send(wire.ChunkEnvelope(buf[:n], false)); err != nil {
 			return err
 		}
 	}
@@ -230,7 +231,7 @@
 // replyReader reads the body of a reply. It is done only after the owner has
 // confirmed the end of the body and its length.
 type replyReader struct {
-	x    exchange
+	x    link.Exchange
 	load func(*wire.Load)
 	// declared is the length of the body by its head; -1 if unknown.
 	declared int64
@@ -277,15 +278,8 @@
 		return nil
 	case *wire.Envelope_Abort:
 		r.load(m.Abort.GetLoad())
-		return abortError(m.Abort)
+		return wire.AbortError(m.Abort)
 	default:
 		return verdict.Lost("protocol", "unexpected message in an answer", nil)
 	}
 }
-
-func abortError(a *wire.Abort) *verdict.Error {
-	return &verdict.Error{
-		Verdict: wire.VerdictFrom(a.GetVerdict()), Status: int(a.GetStatus()), Code: a.GetCode(),
-		Detail: a.GetDetail(), RetryAfter: time.Duration(a.GetRetryAfterUs()) * time.Microsecond,
-	}
-}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -22,20 +22,53 @@
 	maxStep = time.Second
 )
 
+// Credits say how a budget earns its credit; one retry costs 1.
+type Credits struct {
+	// PerRequest and PerSecond are earned by each new request and each second.
+	PerRequest, PerSecond float64
+	// Max bounds the credit saved up.
+	Max float64
+}
+
+// DefaultCredits are those of a deployment that states no bound of its own.
+var DefaultCredits = Credits{PerRequest: requestCredit, PerSecond: secondCredit, Max: maxCredit}
+
 // Budget bounds the retries and hedges of one service at one entry.
 type Budget struct {
-	credit float64
-	last   time.Time
+	credits Credits
+	credit  float64
+	last    time.Time
 }
 
 // NewBudget returns a budget with all the credit that can be saved up, so that
 // the first requests after a start may be retried.
-func NewBudget(now time.Time) *Budget { return &Budget{credit: maxCredit, last: now} }
+func NewBudget(now time.Time) *Budget { return NewBudgetOf(now, DefaultCredits) }
+
+// NewBudgetOf returns a budget with other credits than the default.
+func NewBudgetOf(now time.Time, c Credits) *Budget {
+	return &Budget{credits: c, credit: c.Max, last: now}
+}
+
+// SetCredits changes the credits, for example when the number of nodes that
+// share a bound changes.
+func (b *Budget) SetCredits(c Credits) {
+	b.credits = c
+	b.credit = min(b.credit, c.Max)
+}
 
 // Request counts a new request, which earns credit.
 func (b *Budget) Request(now time.Time) {
 	b.earn(now)
-	b.credit = min(b.credit+requestCredit, maxCredit)
+	c := b.rates()
+	b.credit = min(b.credit+c.PerRequest, c.Max)
+}
+
+// rates returns the credits; those of the zero budget are the default.
+func (b *Budget) rates() Credits {
+	if b.credits == (Credits{}) {
+		return DefaultCredits
+	}
+	return b.credits
 }
 
 // spend takes the credit of one more attempt.
@@ -51,7 +84,8 @@
 func (b *Budget) earn(now time.Time) {
 	step := now.Sub(b.last)
 	b.last = now
-	b.credit = min(b.credit+secondCredit*min(max(step, 0), maxStep).Seconds(), maxCredit)
+	c := b.rates()
+	b.credit = min(b.credit+c.PerSecond*min(max(step, 0), maxStep).Seconds(), c.Max)
 }
 
 // Request describes a request whose repetition is decided.
