Return an error for a request whose time ends before an owner answers

Cause: reserve returned neither a reservation nor an error when the deadline passed between two offers, and the attempt dereferenced nil.

--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -220,12 +220,14 @@
 // reserve asks the owners of the service one after the other for a free slot.
 // If all are busy the request waits at the one that suits best.
 func (e *Entry) reserve(ctx context.Context, q *request) (*reservation, *wire.Offer, error) {
-	var failure error
 	for view := q.view; ; view = e.cfg.Fleet.View() {
 		owners := e.candidates(q, view)
 		r, o, best, err := e.probe(ctx, q, owners)
-		if r != nil || ctx.Err() != nil {
-			return r, o, expired(ctx, err)
+		if r != nil {
+			return r, o, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil, notStarted(err)
 		}
 		if best != nil {
 			o = e.offerFor(q, best.mode)
@@ -235,7 +237,7 @@
 				return r, o, nil
 			}
 		}
-		failure = err
+		failure := err
 		if failure == nil {
 			failure = verdict.Refuse("no-owner", "no backend server of the service is known", retryAfter)
 		}
@@ -244,7 +246,7 @@
 		}
 		sleep(ctx, ownerPoll)
 		if ctx.Err() != nil {
-			return nil, nil, expired(ctx, failure)
+			return nil, nil, notStarted(failure)
 		}
 	}
 }
@@ -259,11 +261,8 @@
 	return now.Before(until)
 }
 
-// expired is the error of a request whose time is up before anything ran.
-func expired(ctx context.Context, err error) error {
-	if err == nil || ctx.Err() == nil {
-		return err
-	}
+// notStarted is the error of a request whose time is up before anything ran.
+func notStarted(err error) error {
 	e := verdict.Refuse("not-started", "no backend server was free in time", retryAfter)
 	e.Cause = err
 	return e
