Spend the fleet's retry slack where it is needed; slow down trials; relay rates

Cause: the slack of the retry budget was divided by the number of nodes, so idempotent requests that met a failing server were not sent again (100 of 131 failed calls had one attempt) while the fleet used half of what it may. Trials of suspected servers every 250 ms used up most of the rest. A home of the rates that only some nodes can reach refused the requests of the others. The rate bound of cold servers also held for warm ones.

Ruled out: wrongful refusals by rate (33 of 34 were of the team whose limit was lowered).

Change: the home of the rates gives out the slack; trials back off; a node asks the home through another one; the cold bound holds while a server is cold or not heard; a server that did not run a request may be asked again.

--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -20,8 +20,13 @@
 	// maxProbedOwners bounds the owners that are asked for a free slot before the
 	// request waits at one of them.
 	maxProbedOwners = 6
+	// maxSends bounds how often a request is sent, also to backend servers that
+	// did not run it.
+	maxSends = 4
 	// ownerPoll is the time between two looks for an owner while none is known.
 	ownerPoll = 50 * time.Millisecond
+	// maxOwnerPoll bounds the wait that an owner suggests.
+	maxOwnerPoll = 150 * time.Millisecond
 	// hedgeFactor is the ratio to the usual time of a route after which an
 	// idempotent request without an answer is sent to a second owner, and
 	// hedgeFloor the least such time.
@@ -29,12 +34,12 @@
 	hedgeFloor  = 150 * time.Millisecond
 	// usualGain is the gain of the moving average of the time of a route.
 	usualGain = 1.0 / 16
-	// budgetShare is the part of the fleet's retry budget that the nodes use, as
-	// the requests of a window are not spread evenly.
+	// budgetShare is the part of the retries allowed per request that a node uses,
+	// as the requests of a window are not spread evenly.
 	budgetShare = 0.8
-	// slackShare is the part of the slack that is earned by time; the rest may be
-	// saved up.
-	slackShare = 0.5
+	// maxSavedRetries bounds what a node saves up. Beyond it, retries are taken from
+	// the fleet's slack at the home of the rates.
+	maxSavedRetries = 1.0
 )
 
 // outcome is the end of one attempt.
@@ -110,9 +115,9 @@
 // hedge sends a second attempt beside the first and takes the better outcome.
 func (e *Entry) hedge(ctx context.Context, q *request, budget *retry.Budget, first <-chan outcome) outcome {
 	e.mu.Lock()
-	allowed := q.attempts.Load() == 1 && budget.Hedge(time.Now(), q.retryRequest(1))
+	allowed := budget.Hedge(time.Now(), q.retryRequest(int(q.attempts.Load())))
 	e.mu.Unlock()
-	if !allowed {
+	if !allowed && (q.attempts.Load() != 1 || !e.cfg.Rates.TakeRetry(ctx, q.service)) {
 		return <-first
 	}
 	e.cfg.Metrics.Hedges.Inc(1)
@@ -143,66 +148,85 @@
 }
 
 func (q *request) retryRequest(attempts int) retry.Request {
-	return retry.Request{Idempotent: q.route.Idempotent, Attempts: attempts, Deadline: q.deadline}
+	return retry.Request{Idempotent: q.route.Idempotent, Attempts: min(attempts, retry.MaxAttempts-1), Deadline: q.deadline}
 }
 
 // mayRepeat decides whether the request is sent to another backend server.
 func (e *Entry) mayRepeat(ctx context.Context, q *request, budget *retry.Budget, last outcome) bool {
-	if ctx.Err() != nil || q.attempts.Load() == 0 || q.attempts.Load() >= int32(q.route.MaxAttempts) {
+	attempts := int(q.attempts.Load())
+	if !q.onlyShed(last) && attempts >= q.route.MaxAttempts {
+		return false
+	}
+	if ctx.Err() != nil || attempts == 0 || attempts >= maxSends {
 		return false
 	}
 	v := verdict.MayHaveRun
 	if last.err != nil {
 		v = verdict.From(last.err).Verdict
 	}
+	request := q.retryRequest(attempts)
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	request := q.retryRequest(int(q.attempts.Load()))
 	request.Expected = e.usual[q.route.Name]
-	return budget.May(time.Now(), request, v)
+	now := time.Now()
+	repeatable := request.Repeatable(now, v)
+	allowed := budget.May(now, request, v)
+	e.mu.Unlock()
+	return allowed || repeatable && e.cfg.Rates.TakeRetry(ctx, q.service)
+}
+
+// onlyShed reports whether the backend server stated that it did not run the
+// request. The bound on backend servers then allows it to be asked again.
+func (q *request) onlyShed(last outcome) bool {
+	return last.err != nil && verdict.From(last.err).Code == owner.CodeShed
 }
 
 // budget returns the retry budget of the service and counts the request.
 func (e *Entry) budget(q *request) *retry.Budget {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	credits := e.credits(len(q.view.Nodes))
 	b := e.budgets[q.service]
 	if b == nil {
-		b = retry.NewBudgetOf(time.Now(), credits)
+		b = retry.NewBudgetOf(time.Now(), retry.Credits{PerRequest: budgetShare * e.cfg.Bounds.RetryRatio, Max: maxSavedRetries})
 		e.budgets[q.service] = b
 	}
-	b.SetCredits(credits)
 	b.Request(time.Now())
 	return b
 }
 
-// credits deals the slack of the fleet's budget out to the nodes.
-func (e *Entry) credits(nodes int) retry.Credits {
-	b := e.cfg.Bounds
-	slack := budgetShare * b.RetrySlack / float64(max(nodes, 1))
-	return retry.Credits{
-		PerRequest: budgetShare * b.RetryRatio,
-		PerSecond:  slackShare * slack / max(b.RetryWindow.Seconds(), 1),
-		Max:        max((1-slackShare)*slack, 1),
-	}
-}
+// maxReservations bounds the owners that accept a request and then refuse to
+// start it, for example because their backend server leaves at that moment.
+const maxReservations = 4
 
 // attempt finds an owner with a free slot and lets it run the request.
 func (e *Entry) attempt(ctx context.Context, q *request) (*h1.Answer, error) {
-	r, o, err := e.reserve(ctx, q)
-	if err != nil {
-		return nil, err
-	}
-	q.attempts.Add(1)
-	started := time.Now()
-	e.cfg.Logger.Log("event", "request sent", "request", q.id, "owner", r.member.Node, "zone", r.member.Zone,
-		"backend", r.member.BackendID(), "left_ms", time.Until(q.deadline).Milliseconds(), "members", q.view.Revision)
-	a, err := e.commit(ctx, r, o, q.Payload)
-	if err == nil && a.Status < http.StatusInternalServerError {
-		e.learn(q.route.Name, time.Since(started))
+	var failure error
+	for range maxReservations {
+		r, o, err := e.reserve(ctx, q)
+		if err != nil {
+			return nil, err
+		}
+		started := time.Now()
+		e.cfg.Logger.Log("event", "request sent", "request", q.id, "owner", r.member.Node, "zone", r.member.Zone,
+			"backend", r.member.BackendID(), "left_ms", time.Until(q.deadline).Milliseconds(), "members", q.view.Revision)
+		q.attempts.Add(1)
+		a, err := e.commit(ctx, r, o, q.Payload)
+		if err == nil && a.Status < http.StatusInternalServerError {
+			e.learn(q.route.Name, time.Since(started))
+		}
+		if err == nil || !neverSent(err) {
+			return a, err
+		}
+		q.attempts.Add(-1)
+		failure = err
 	}
-	return a, err
+	return nil, failure
+}
+
+// neverSent reports whether the owner refused the request before its backend
+// server saw any of it.
+func neverSent(err error) bool {
+	e := verdict.From(err)
+	return e.Verdict == verdict.NotRun && e.Code != owner.CodeShed
 }
 
 // learn updates the usual time of a route.
@@ -244,7 +268,7 @@
 		if !q.keepWaiting(time.Now()) {
 			return nil, nil, failure
 		}
-		sleep(ctx, ownerPoll)
+		sleep(ctx, min(max(verdict.From(failure).RetryAfter, ownerPoll), maxOwnerPoll))
 		if ctx.Err() != nil {
 			return nil, nil, notStarted(failure)
 		}
@@ -272,8 +296,9 @@
 func (e *Entry) candidates(q *request, view *fleet.View) []*fleet.Member {
 	e.mu.Lock()
 	var out []*fleet.Member
+	exhausted := len(q.tried) >= q.route.MaxAttempts
 	for _, m := range view.Owners[q.service] {
-		if !q.tried[m.Node] {
+		if q.tried[m.Node] == exhausted {
 			out = append(out, m)
 		}
 	}
--- a/mesh/owner/health.go
+++ b/mesh/owner/health.go
@@ -14,16 +14,19 @@
 	windowAge = 10 * time.Second
 	// doubtTime is the time after one failure in which only idempotent requests
 	// are accepted; their outcome decides.
-	doubtTime = 700 * time.Millisecond
-	// trialInterval separates idempotent requests sent to a suspected backend server.
-	trialInterval = 250 * time.Millisecond
+	doubtTime = 1500 * time.Millisecond
+	// minTrialWait and maxTrialWait bound the growing time between failed trials of
+	// a suspected backend server. A trial costs a retry, and failures last 10 to
+	// 20 s. After a successful trial the next one may follow at once.
+	minTrialWait = 400 * time.Millisecond
+	maxTrialWait = 3 * time.Second
 	// trialSuccesses is the number of successes in a row that end a suspicion.
-	trialSuccesses = 3
+	trialSuccesses = 2
 	// minUnsafeTrial and maxUnsafeTrial bound the growing time after which a
 	// suspected backend server gets a request that is not idempotent, because no
-	// idempotent one has cleared it. Failures last for several seconds.
-	minUnsafeTrial = 3 * time.Second
-	maxUnsafeTrial = 12 * time.Second
+	// idempotent one has cleared it.
+	minUnsafeTrial = 8 * time.Second
+	maxUnsafeTrial = 16 * time.Second
 	// slowFactor is the ratio to the usual latency from which an answer counts as
 	// a failure, and slowFloor the least such latency.
 	slowFactor = 4.0
@@ -44,7 +47,8 @@
 	suspected   bool
 	doubtUntil  time.Time
 	trialRuns   bool
-	lastTrial   time.Time
+	trialWait   time.Duration
+	trialAt     time.Time
 	unsafeWait  time.Duration
 	unsafeAt    time.Time
 	usual       map[string]time.Duration
@@ -70,8 +74,8 @@
 		return true, false
 	case !h.suspected || h.trialRuns:
 		return false, false
-	case r.idempotent && now.Sub(h.lastTrial) >= trialInterval, !r.idempotent && !now.Before(h.unsafeAt):
-		h.trialRuns, h.lastTrial = true, now
+	case r.idempotent && !now.Before(h.trialAt), !r.idempotent && !now.Before(h.unsafeAt):
+		h.trialRuns = true
 		return true, true
 	default:
 		return false, false
@@ -98,11 +102,11 @@
 	}
 	h.consecutive = 0
 	h.successes++
-	h.doubtUntil = time.Time{}
+	h.doubtUntil, h.trialAt = time.Time{}, time.Time{}
 	if h.suspected && h.successes >= trialSuccesses {
 		h.suspected = false
 		h.outcomes = h.outcomes[:0]
-		h.unsafeWait = 0
+		h.trialWait, h.unsafeWait = 0, 0
 	}
 	return h.suspected != before
 }
@@ -115,6 +119,8 @@
 		return
 	}
 	h.suspected = true
+	h.trialWait = min(max(2*h.trialWait, minTrialWait), maxTrialWait)
+	h.trialAt = now.Add(h.trialWait)
 	h.unsafeWait = min(max(2*h.unsafeWait, minUnsafeTrial), maxUnsafeTrial)
 	h.unsafeAt = now.Add(h.unsafeWait)
 }
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -28,6 +28,9 @@
 	// restartWindow is the time after a lost connection in which a new start of
 	// the backend server counts as a crash.
 	restartWindow = 10 * time.Second
+	// heartbeatsMissed is the number of intervals without a heartbeat after which a
+	// backend server may have turned cold unnoticed.
+	heartbeatsMissed = 3
 	// rateMargin keeps the rate of a cold backend server below its bound, in
 	// requests per second.
 	rateMargin = 2
@@ -39,6 +42,8 @@
 type Config struct {
 	// Bounds are the figures that the deployment must keep.
 	Bounds platform.Bounds
+	// Heartbeat is the interval of the backend server's announcements.
+	Heartbeat time.Duration
 	// Cold returns for how long a started backend server of the service is cold,
 	// and the rate in requests per second that it then tolerates; 0 if unknown.
 	Cold func(service string) (time.Duration, float64)
@@ -78,7 +83,9 @@
 	health       health
 	arrivals     arrivals
 	coldUntil    time.Time
-	downUntil    time.Time
+	// heard is when the last heartbeat arrived, refused when a connection failed last.
+	heard, refused time.Time
+	downUntil      time.Time
 	// lost holds the fingerprints of requests whose connection broke.
 	lost    []lostRequest
 	started map[*run]struct{}
@@ -182,6 +189,7 @@
 	if a.Sequence <= b.announcement.Sequence {
 		return false
 	}
+	b.heard = now
 	before := b.announcement
 	a.Draining = a.Draining || before.Draining
 	b.announcement = a
@@ -208,7 +216,7 @@
 }
 
 func (o *Owner) newBackend(now time.Time, a platform.Announcement) *backend {
-	b := &backend{announcement: a, started: make(map[*run]struct{}), gone: a.ID == o.leftID}
+	b := &backend{announcement: a, heard: now, started: make(map[*run]struct{}), gone: a.ID == o.leftID}
 	b.gate = admission.NewGate(admission.Config{
 		ReservationTimeout: reservationTimeout, WarmStart: true,
 		Violated: func(detail string) { o.cfg.Logger.Log("event", "admission limit broken", "detail", detail) },
@@ -314,8 +322,8 @@
 }
 
 // rateLimit returns the number of requests per second that the backend server
-// may get; 0 means no limit. The bound for a cold server holds at all times,
-// because a server can turn cold between two heartbeats.
+// may get; 0 means no limit. Only heartbeats tell whether a server is cold, so the
+// bound also holds while they are late and after a connection was refused.
 func (o *Owner) rateLimit(now time.Time, b *backend) int {
 	_, rate := o.cfg.Cold(b.announcement.Service)
 	if rate <= 0 {
@@ -324,5 +332,8 @@
 	if now.Before(b.coldUntil) {
 		return max(int(rate), 1)
 	}
+	if now.Sub(b.heard) < heartbeatsMissed*o.cfg.Heartbeat && b.heard.After(b.refused) {
+		return 0
+	}
 	return max(int(rate*o.cfg.Bounds.ColdOver+o.cfg.Bounds.ColdSlack)-rateMargin, 1)
 }
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -280,7 +280,8 @@
 	switch {
 	case !failed.Sent:
 		o.mu.Lock()
-		b.downUntil = time.Now().Add(downTime)
+		b.refused = time.Now()
+		b.downUntil = b.refused.Add(downTime)
 		o.mu.Unlock()
 		e := verdict.Refuse(CodeDown, "no connection to the backend server", downTime)
 		e.Cause = err
@@ -333,6 +334,14 @@
 	now := time.Now()
 	latency := now.Sub(r.began)
 	o.cfg.Metrics.BackendLatency.Update(latency.Microseconds())
+	status, code := 0, ""
+	if err != nil {
+		code = verdict.From(err).Code
+	} else {
+		status = reply.Status
+	}
+	o.cfg.Logger.Log("event", "backend server answered", "request", r.offer.GetRequestId(), "backend", b.announcement.ID,
+		"status", status, "code", code, "ms", latency.Milliseconds(), "trial", r.trial, "last_resort", r.offer.GetLastResort())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(b.started, r)
@@ -345,8 +354,10 @@
 			return admission.Canceled
 		}
 	case e.Code == CodeShed:
-		o.record(b, r, now, false)
-		return admission.Shed
+		// The owner keeps to the slots, so a refusal is no sign of too much work, and
+		// the request can be sent again.
+		b.health.cancel(r.trial)
+		return admission.Canceled
 	case e.Code == CodeBackendLost:
 		b.lost = append(b.lost, lostRequest{at: now, fingerprint: r.offer.GetFingerprint()})
 	}
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,7 @@
 	"trefoildock.example/link"
 	"trefoildock.example/mesh/fleet"
 	"trefoildock.example/mesh/quota"
+	"trefoildock.example/routing"
 	"trefoildock.example/wire"
 )
 
@@ -47,29 +49,87 @@
 // answerTake gives out requests of a team if this node is the home of the rates.
 func (n *Node) answerTake(t *wire.Take) *wire.TakeAnswer {
 	ledger, config := n.keeper.Ledger(), n.fleet.View().Config
+	if ledger == nil && t.GetDeputy() {
+		return n.relayTake(t)
+	}
 	if ledger == nil || config == nil {
 		return &wire.TakeAnswer{NotHome: true}
 	}
-	team := config.Team(t.GetTeam())
-	if team == nil {
+	limit := n.limitOf(config, t)
+	if limit == nil {
 		return &wire.TakeAnswer{RetryAfterUs: time.Second.Microseconds()}
 	}
-	granted, wait := ledger.Take(time.Now(), team, int(t.GetTokens()))
+	granted, wait := ledger.Take(time.Now(), limit, int(t.GetTokens()))
 	return &wire.TakeAnswer{Granted: uint32(granted), RetryAfterUs: wait.Microseconds()}
 }
 
+// limitOf returns the limit that a call takes from, or nil if there is none.
+func (n *Node) limitOf(config *routing.Config, t *wire.Take) *routing.Team {
+	if service := t.GetRetryOf(); service != "" {
+		return n.retryLimit(service)
+	}
+	return config.Team(t.GetTeam())
+}
+
+func (n *Node) retryLimit(service string) *routing.Team {
+	return quota.RetryLimit(service, n.settings.Bounds.RetrySlack, n.settings.Bounds.RetryWindow)
+}
+
+// relayTake asks the home on behalf of a node that cannot reach it.
+func (n *Node) relayTake(t *wire.Take) *wire.TakeAnswer {
+	home, known := n.keeper.Home()
+	if !known {
+		return &wire.TakeAnswer{NotHome: true}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	taken, err := n.askRate(ctx, home, quota.Want{Team: t.GetTeam(), RetryOf: t.GetRetryOf()})
+	if err != nil {
+		return &wire.TakeAnswer{NotHome: true}
+	}
+	return &wire.TakeAnswer{Granted: uint32(taken.Granted), RetryAfterUs: taken.Wait.Microseconds(), NotHome: taken.NotHome}
+}
+
+// relayTimeout is less than the time that the asking node waits.
+const relayTimeout = 100 * time.Millisecond
+
+// askThroughPeer asks a random node of the own zone to ask the home.
+func (n *Node) askThroughPeer(ctx context.Context, w quota.Want) (quota.Taken, error) {
+	var near, far []string
+	for name, m := range n.fleet.View().Nodes {
+		switch {
+		case name == n.settings.Node:
+		case m.Zone == n.settings.Zone:
+			near = append(near, m.Address)
+		default:
+			far = append(far, m.Address)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return quota.Taken{}, errors.New("no other node is known")
+	}
+	return n.take(ctx, near[rand.IntN(len(near))], &wire.Take{Team: w.Team, RetryOf: w.RetryOf, Tokens: 1, Deputy: true})
+}
+
 // askRate takes one request of a team from the home.
-func (n *Node) askRate(ctx context.Context, h quota.Home, team string) (quota.Taken, error) {
-	a, err := n.links.Call(ctx, h.Address, &wire.Call{Body: &wire.Call_Take{Take: &wire.Take{Team: team, Tokens: 1}}})
+func (n *Node) askRate(ctx context.Context, h quota.Home, w quota.Want) (quota.Taken, error) {
+	return n.take(ctx, h.Address, &wire.Take{Team: w.Team, RetryOf: w.RetryOf, Tokens: 1})
+}
+
+func (n *Node) take(ctx context.Context, address string, t *wire.Take) (quota.Taken, error) {
+	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_Take{Take: t}})
 	if err != nil {
 		return quota.Taken{}, err
 	}
-	t := a.GetTake()
-	if t == nil {
+	answer := a.GetTake()
+	if answer == nil {
 		return quota.Taken{}, errors.New("answer is not about a rate")
 	}
 	return quota.Taken{
-		Granted: int(t.GetGranted()), Wait: time.Duration(t.GetRetryAfterUs()) * time.Microsecond, NotHome: t.GetNotHome(),
+		Granted: int(answer.GetGranted()), Wait: time.Duration(answer.GetRetryAfterUs()) * time.Microsecond, NotHome: answer.GetNotHome(),
 	}, nil
 }
 
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -117,7 +117,7 @@
 		OnError: func(err error) { n.logger.Log("event", "link closed", "err", err) },
 	}
 	n.owner = owner.New(owner.Config{
-		Bounds: s.Bounds, Cold: n.cold, Logger: n.logger, Metrics: owner.NewMetrics(n.registry),
+		Bounds: s.Bounds, Heartbeat: s.Heartbeat, Cold: n.cold, Logger: n.logger, Metrics: owner.NewMetrics(n.registry),
 		OnChange: func() { n.fleet.Publish() },
 		OnCrash: func(incarnation string, fingerprints [][]byte) {
 			n.fleet.ReportCrash(context.Background(), incarnation, fingerprints)
@@ -135,7 +135,7 @@
 	}
 	n.keeper.Init()
 	n.rates = &quota.Rates{
-		Keeper: n.keeper, Ask: n.askRate, Nodes: func() int { return len(n.fleet.View().Nodes) },
+		Keeper: n.keeper, Ask: n.askRate, Relay: n.askThroughPeer, RetryLimit: n.retryLimit, Nodes: func() int { return len(n.fleet.View().Nodes) },
 		Allowance: quota.Allowance{Window: s.Bounds.RateWindow, Over: s.Bounds.RateOver, Slack: s.Bounds.RateSlack},
 	}
 	n.entry = entry.New(entry.Config{
--- a/mesh/quota/ledger.go
+++ b/mesh/quota/ledger.go
@@ -70,6 +70,18 @@
 	return b
 }
 
+// retryShare is the part of the fleet's slack for retries that the home gives
+// out. The rest covers retries that the nodes earn by their own requests.
+const retryShare = 0.7
+
+// RetryLimit returns the limit of the retries of a service that the home gives
+// out, beyond those that the nodes earn by their own requests. Within any window
+// it allows burst and rate times window, which together are its share of slack.
+func RetryLimit(service string, slack float64, window time.Duration) *routing.Team {
+	part := retryShare * slack
+	return &routing.Team{Name: "retries of " + service, Burst: part / 3, Rate: part * 2 / 3 / max(window.Seconds(), 1)}
+}
+
 // Allowance is the part of the tolerated overrun that one node may spend while
 // there is no home.
 type Allowance struct {
--- a/mesh/quota/rates.go
+++ b/mesh/quota/rates.go
@@ -18,6 +18,9 @@
 	findWait = 300 * time.Millisecond
 	// findPoll is the interval at which it looks.
 	findPoll = 20 * time.Millisecond
+	// relayTime is how long the home is asked through another node before it is
+	// tried directly again.
+	relayTime = 2 * time.Second
 	// minRetryAfter is the least hint with a refusal.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -31,17 +34,30 @@
 	NotHome bool
 }
 
+// Want names what is taken from the home: a request of a team, or a retry of a
+// service.
+type Want struct {
+	Team, RetryOf string
+}
+
 // Rates decides for a node whether a request of a team may run.
 type Rates struct {
 	Keeper *Keeper
-	// Ask takes one request of the team from a home on another node.
-	Ask func(ctx context.Context, h Home, team string) (Taken, error)
+	// Ask takes from a home on another node.
+	Ask func(ctx context.Context, h Home, w Want) (Taken, error)
+	// Relay asks another node to ask the home; nil relays nothing. A home that
+	// this node cannot reach may still be reached by others.
+	Relay func(ctx context.Context, w Want) (Taken, error)
+	// RetryLimit is the limit of the retries of a service that the home gives out.
+	RetryLimit func(service string) *routing.Team
 	// Nodes returns the number of nodes that share the allowance.
 	Nodes     func() int
 	Allowance Allowance
 
 	mu       sync.Mutex
 	fallback *Ledger
+	// relayUntil is the time until which the home is asked through another node.
+	relayUntil time.Time
 }
 
 // Admit counts one request of the team. Its error means that the request has
@@ -52,7 +68,7 @@
 	}
 	started := time.Now()
 	for {
-		taken, ok := r.take(ctx, team)
+		taken, ok := r.take(ctx, team, Want{Team: team.Name})
 		now := time.Now()
 		switch {
 		case ok && taken.Granted > 0:
@@ -74,10 +90,17 @@
 	}
 }
 
+// TakeRetry takes one retry of the service from the fleet's budget. It never
+// waits for one.
+func (r *Rates) TakeRetry(ctx context.Context, service string) bool {
+	taken, ok := r.take(ctx, r.RetryLimit(service), Want{RetryOf: service})
+	return ok && taken.Granted > 0
+}
+
 // take asks the home. It returns false if there is none.
-func (r *Rates) take(ctx context.Context, team *routing.Team) (Taken, bool) {
+func (r *Rates) take(ctx context.Context, limit *routing.Team, w Want) (Taken, bool) {
 	if ledger := r.Keeper.Ledger(); ledger != nil {
-		granted, wait := ledger.Take(time.Now(), team, 1)
+		granted, wait := ledger.Take(time.Now(), limit, 1)
 		return Taken{Granted: granted, Wait: wait}, true
 	}
 	home, known := r.Keeper.Home()
@@ -85,15 +108,42 @@
 		r.Keeper.Lost(home)
 		return Taken{}, false
 	}
+	if !r.relaying() {
+		taken, err := r.ask(ctx, func(ctx context.Context) (Taken, error) { return r.Ask(ctx, home, w) })
+		if err == nil && !taken.NotHome {
+			return taken, true
+		}
+		r.Keeper.Logger.Log("event", "home of the rates not reached", "home", home.Node, "not_home", taken.NotHome, "err", err)
+	}
+	if r.Relay != nil {
+		taken, err := r.ask(ctx, func(ctx context.Context) (Taken, error) { return r.Relay(ctx, w) })
+		if err == nil && !taken.NotHome {
+			r.startRelaying()
+			return taken, true
+		}
+	}
+	r.Keeper.Lost(home)
+	return Taken{}, false
+}
+
+func (r *Rates) ask(ctx context.Context, f func(context.Context) (Taken, error)) (Taken, error) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	taken, err := r.Ask(ctx, home, team.Name)
-	if err != nil || taken.NotHome {
-		r.Keeper.Logger.Log("event", "home of the rates lost", "home", home.Node, "not_home", taken.NotHome, "err", err)
-		r.Keeper.Lost(home)
-		return Taken{}, false
+	return f(ctx)
+}
+
+func (r *Rates) relaying() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.relayUntil)
+}
+
+func (r *Rates) startRelaying() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); !now.Before(r.relayUntil) {
+		r.relayUntil = now.Add(relayTime)
 	}
-	return taken, true
 }
 
 // takeAllowance spends the part of the tolerated overrun of this node.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -49,12 +49,6 @@
 	return &Budget{credits: c, credit: c.Max, last: now}
 }
 
-// SetCredits changes the credits, for example when the number of nodes that
-// share a bound changes.
-func (b *Budget) SetCredits(c Credits) {
-	b.credits = c
-	b.credit = min(b.credit, c.Max)
-}
 
 // Request counts a new request, which earns credit.
 func (b *Budget) Request(now time.Time) {
@@ -103,8 +97,14 @@
 // May says whether a request that failed with v may be sent again, and counts
 // the retry against the budget if so.
 func (b *Budget) May(now time.Time, r Request, v verdict.Verdict) bool {
-	repeatable := v == verdict.NotRun || v == verdict.MayHaveRun && r.Idempotent
-	return repeatable && r.fits(now) && b.spend(now)
+	return r.Repeatable(now, v) && b.spend(now)
+}
+
+// Repeatable says whether a request that failed with v may be sent again as far
+// as the request itself is concerned.
+func (r Request) Repeatable(now time.Time, v verdict.Verdict) bool {
+	safe := v == verdict.NotRun || v == verdict.MayHaveRun && r.Idempotent
+	return safe && r.fits(now)
 }
 
 // Hedge says whether a second attempt may run beside the first, and counts it
