Bound the wait for an owner by the goal; ignore short deadlines in health

Requests of a route whose timeout is shorter than their work end with 504 at every server and made healthy ones suspected.

Change: a request must start by its goal, a call by its deadline less its usual time; a timeout counts as a failure only after the usual time times four; a request waits at the least occupied owner; 0.95 of the earned retries are used.

--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -36,7 +36,7 @@
 	usualGain = 1.0 / 16
 	// budgetShare is the part of the retries allowed per request that a node uses,
 	// as the requests of a window are not spread evenly.
-	budgetShare = 0.8
+	budgetShare = 0.95
 	// maxSavedRetries bounds what a node saves up. Beyond it, retries are taken from
 	// the fleet's slack at the home of the rates.
 	maxSavedRetries = 1.0
@@ -255,7 +255,7 @@
 		}
 		if best != nil {
 			o = e.offerFor(q, best.mode)
-			r, err = e.offer(ctx, best.member, o)
+			r, err = e.offer(ctx, best.member, o, e.startBy(q))
 			if err == nil {
 				e.markTried(q, best.member)
 				return r, o, nil
@@ -265,7 +265,7 @@
 		if failure == nil {
 			failure = verdict.Refuse("no-owner", "no backend server of the service is known", retryAfter)
 		}
-		if !q.keepWaiting(time.Now()) {
+		if !time.Now().Before(e.startBy(q)) {
 			return nil, nil, failure
 		}
 		sleep(ctx, min(max(verdict.From(failure).RetryAfter, ownerPoll), maxOwnerPoll))
@@ -275,14 +275,18 @@
 	}
 }
 
-// keepWaiting reports whether it is still worth looking for an owner: an answer
-// within the goal must remain possible.
-func (q *request) keepWaiting(now time.Time) bool {
-	until := q.deadline
-	if goal := q.route.Goal; goal > 0 && q.Received.Add(goal/2).Before(until) {
-		until = q.Received.Add(goal / 2)
+// startBy returns the time by which the request must start: later, it would not
+// be answered in time. A request of a caller is not held beyond its goal, because
+// a caller that is told at once can do something else; a call of a backend server
+// is, because its failure would waste the work that waits for it.
+func (e *Entry) startBy(q *request) time.Time {
+	e.mu.Lock()
+	by := q.deadline.Add(-e.usual[q.route.Name])
+	e.mu.Unlock()
+	if goal := q.route.Goal; goal > 0 && !q.isCall() && q.Received.Add(goal).Before(by) {
+		by = q.Received.Add(goal)
 	}
-	return now.Before(until)
+	return by
 }
 
 // notStarted is the error of a request whose time is up before anything ran.
@@ -337,7 +341,7 @@
 			break
 		}
 		o := e.offerFor(q, noWait)
-		r, err := e.offer(ctx, m, o)
+		r, err := e.offer(ctx, m, o, time.Now().Add(offerTimeout))
 		if err == nil {
 			e.markTried(q, m)
 			return r, o, nil, nil
@@ -345,7 +349,7 @@
 		failure = err
 		switch verdict.From(err).Code {
 		case admission.CodeBusy:
-			if busy == nil {
+			if busy == nil || e.peers.occupancy(m) < e.peers.occupancy(busy) {
 				busy = m
 			}
 		case owner.CodeSuspected:
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -34,14 +34,11 @@
 	stop   func() bool
 }
 
-// offer asks an owner to reserve a slot. Its error means that nothing ran there.
-func (e *Entry) offer(ctx context.Context, m *fleet.Member, o *wire.Offer) (*reservation, error) {
-	wait := ctx
-	if o.GetNoWait() {
-		var cancel func()
-		wait, cancel = context.WithTimeout(ctx, offerTimeout)
-		defer cancel()
-	}
+// offer asks an owner to reserve a slot by a certain time. Its error means that
+// nothing ran there.
+func (e *Entry) offer(ctx context.Context, m *fleet.Member, o *wire.Offer, by time.Time) (*reservation, error) {
+	wait, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
 	x, err := e.open(wait, m, o)
 	if err != nil {
 		return nil, e.unreachable(ctx, m, codeUnreachable, err)
@@ -53,6 +50,9 @@
 	}
 	if err != nil {
 		x.Close()
+		if !o.GetNoWait() && wait.Err() != nil {
+			return nil, notStarted(err)
+		}
 		return nil, e.unreachable(ctx, m, codeOfferLost, err)
 	}
 	now := time.Now()
--- a/mesh/entry/peers.go
+++ b/mesh/entry/peers.go
@@ -104,6 +104,15 @@
 	return time.Duration(p.get(node).load.LatencyUs) * time.Microsecond
 }
 
+// occupancy returns the requests that run or wait at an owner per slot, by its
+// last report.
+func (p *peers) occupancy(m *fleet.Member) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &p.get(m.Node).load
+	return float64(l.GetInFlight()+l.GetQueued()) / float64(max(l.GetLimit(), 1))
+}
+
 // rank sorts the owners by how well they suit the next request.
 func (p *peers) rank(owners []*fleet.Member, zone string, now time.Time) []*fleet.Member {
 	p.mu.Lock()
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -361,6 +361,10 @@
 	case e.Code == CodeBackendLost:
 		b.lost = append(b.lost, lostRequest{at: now, fingerprint: r.offer.GetFingerprint()})
 	}
+	if outOfTime(reply, e) && latency < b.health.overdue(healthKey(r.offer)) {
+		b.health.cancel(r.trial) // The request had less time than others usually take.
+		return admission.Canceled
+	}
 	if err != nil {
 		o.record(b, r, now, false)
 		return admission.Failure
@@ -378,6 +382,14 @@
 	return admission.Success
 }
 
+// outOfTime reports whether a request ended because its time was up.
+func outOfTime(reply *h1.Reply, e *verdict.Error) bool {
+	if e != nil {
+		return e.Code == CodeTimeout
+	}
+	return reply.Status == http.StatusGatewayTimeout
+}
+
 // healthKey groups requests with a similar latency.
 func healthKey(offer *wire.Offer) string { return offer.GetMethod() + offer.GetHost() }
 
--- a/mesh/quota/ledger.go
+++ b/mesh/quota/ledger.go
@@ -72,7 +72,7 @@
 
 // retryShare is the part of the fleet's slack for retries that the home gives
 // out. The rest covers retries that the nodes earn by their own requests.
-const retryShare = 0.7
+const retryShare = 0.6
 
 // RetryLimit returns the limit of the retries of a service that the home gives
 // out, beyond those that the nodes earn by their own requests. Within any window
