Do not suspect a backend server for failures of its calls

Ruled out: failing servers (two of six were), lack of slots (9 to 11 of 18 busy).

Change: an owner knows the calls of its backend server and ignores failures that they explain; an owner refuses a wait that would end after the time to start; a suspected server is used when no other will be free in time.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -164,10 +164,11 @@
 	case c.queue.teamLength(req.Team) >= c.cfg.TeamQueue:
 		return CodeQueueFull, c.expectedWait(req)
 	}
-	if req.Deadline.IsZero() {
+	by := req.startBy()
+	if by.IsZero() {
 		return "", 0
 	}
-	if wait := c.expectedWait(req); !now.Add(wait).Before(req.Deadline) {
+	if wait := c.expectedWait(req); !now.Add(wait).Before(by) {
 		return CodeDeadline, wait
 	}
 	return "", 0
@@ -254,7 +255,7 @@
 		out = append(out, Decision{Ticket: e.ticket, Outcome: Refused, Code: CodeReservationExpired, RetryAfter: c.cfg.RetryAfter})
 	}
 	for _, e := range c.queue.all() {
-		if isPast(now, e.req.Deadline) {
+		if isPast(now, e.req.startBy()) {
 			c.queue.remove(e)
 			out = append(out, c.refuse(e, CodeDeadline))
 		}
--- a/admission/types.go
+++ b/admission/types.go
@@ -60,6 +60,8 @@
 	Weight uint32
 	// Deadline is the time after which the answer is useless; zero means none.
 	Deadline time.Time
+	// StartBy is the time by which a waiting request must start; zero means Deadline.
+	StartBy time.Time
 	// Idempotent requests may run during a trial.
 	Idempotent bool
 	// Exclusive requests run alone on the backend server.
@@ -129,3 +131,11 @@
 	// Cold means that the backend server has just started.
 	Cold bool
 }
+
+// startBy returns the time by which a waiting request must start.
+func (r Request) startBy() time.Time {
+	if r.StartBy.IsZero() {
+		return r.Deadline
+	}
+	return r.StartBy
+}
--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -254,12 +254,13 @@
 			return nil, nil, notStarted(err)
 		}
 		if best != nil {
-			o = e.offerFor(q, best.mode)
-			r, err = e.offer(ctx, best.member, o, e.startBy(q))
+			r, o, err = e.takeFallback(ctx, q, best)
 			if err == nil {
-				e.markTried(q, best.member)
 				return r, o, nil
 			}
+			if !q.isCall() {
+				return nil, nil, err // No owner expects to be free in time.
+			}
 		}
 		failure := err
 		if failure == nil {
@@ -325,10 +326,10 @@
 	lastResort
 )
 
-// fallback is an owner that may take the request although it refused at first.
+// fallback holds owners that may take the request although they refused at first.
 type fallback struct {
-	member *fleet.Member
-	mode   offerMode
+	// busy has no free slot; suspected has a backend server that failed lately.
+	busy, suspected *fleet.Member
 }
 
 // probe offers the request to one owner after the other. Without a free slot it
@@ -358,21 +359,45 @@
 			}
 		}
 	}
-	switch {
-	case busy != nil:
-		return nil, nil, &fallback{busy, queue}, failure
-	case suspected != nil:
-		return nil, nil, &fallback{suspected, lastResort}, failure
-	default:
+	if busy == nil && suspected == nil {
 		return nil, nil, nil, failure
 	}
+	return nil, nil, &fallback{busy: busy, suspected: suspected}, failure
+}
+
+// takeFallback lets the request wait at a busy owner, or run on a backend server
+// that is suspected of failing if no other will be free in time.
+func (e *Entry) takeFallback(ctx context.Context, q *request, f *fallback) (*reservation, *wire.Offer, error) {
+	var failure error
+	if f.busy != nil {
+		o := e.offerFor(q, queue)
+		r, err := e.offer(ctx, f.busy, o, e.startBy(q))
+		if err == nil {
+			e.markTried(q, f.busy)
+			return r, o, nil
+		}
+		failure = err
+	}
+	if f.suspected != nil && ctx.Err() == nil {
+		o := e.offerFor(q, lastResort)
+		r, err := e.offer(ctx, f.suspected, o, time.Now().Add(offerTimeout))
+		if err == nil {
+			e.markTried(q, f.suspected)
+			return r, o, nil
+		}
+		failure = err
+	}
+	return nil, nil, failure
 }
 
 // offerFor returns the offer of one attempt.
 func (e *Entry) offerFor(q *request, mode offerMode) *wire.Offer {
 	o := proto.CloneOf(q.offer)
 	o.TimeoutUs = max(time.Until(q.deadline).Microseconds(), 1)
-	o.NoWait = mode == noWait
+	o.NoWait = mode != queue
+	if mode == queue {
+		o.StartWithinUs = max(time.Until(e.startBy(q)).Microseconds(), 1)
+	}
 	o.LastResort = mode == lastResort
 	return o
 }
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -79,6 +79,8 @@
 	// attempts counts the backend servers that the request was sent to.
 	attempts atomic.Int32
 	tried    map[string]bool
+	// calling is set once the owner was told of a call.
+	calling bool
 }
 
 // Handle answers one request. ctx ends when the caller leaves.
@@ -89,8 +91,8 @@
 	if err != nil {
 		a = e.failure(q, verdict.From(err))
 	}
-	if a.Status >= http.StatusInternalServerError && q.isCall() {
-		e.cfg.Owner.CallFailed()
+	if q.calling {
+		e.cfg.Owner.EndCall(a.Status >= http.StatusInternalServerError)
 	}
 	e.finish(ctx, q, a, err)
 	return a
@@ -106,6 +108,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
+	if q.isCall() {
+		e.cfg.Owner.BeginCall()
+		q.calling = true
+	}
 	if err := e.cfg.Rates.Admit(ctx, q.team); err != nil {
 		return nil, err
 	}
--- a/mesh/owner/health.go
+++ b/mesh/owner/health.go
@@ -19,7 +19,7 @@
 	// a suspected backend server. A trial costs a retry, and failures last 10 to
 	// 20 s. After a successful trial the next one may follow at once.
 	minTrialWait = 400 * time.Millisecond
-	maxTrialWait = 3 * time.Second
+	maxTrialWait = 1500 * time.Millisecond
 	// trialSuccesses is the number of successes in a row that end a suspicion.
 	trialSuccesses = 2
 	// minUnsafeTrial and maxUnsafeTrial bound the growing time after which a
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -70,8 +70,7 @@
 	running            int
 	// leftID is a backend server that said before this process started that it leaves.
 	leftID string
-	// callFailed is when a call of the backend server last failed.
-	callFailed time.Time
+	calls calls
 }
 
 // backend is one start of the backend server. The fields are guarded by Owner.mu.
@@ -232,14 +231,6 @@
 	return b
 }
 
-// CallFailed notes that a call which the backend server made while it ran a
-// request has failed. Its own failures since then say nothing about its health.
-func (o *Owner) CallFailed() {
-	o.mu.Lock()
-	o.callFailed = time.Now()
-	o.mu.Unlock()
-}
-
 // Leave records that the backend server leaves. Running requests finish.
 func (o *Owner) Leave(id string) error {
 	o.mu.Lock()
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -181,7 +181,7 @@
 	deadline, _ := r.ctx.Deadline()
 	res, err := b.gate.Reserve(r.ctx, admission.Request{
 		Team: r.offer.GetTeam(), Weight: r.offer.GetTeamWeight(), Deadline: deadline, Idempotent: r.offer.GetIdempotent(),
-		NoWait: r.offer.GetNoWait(), Urgent: r.offer.GetUrgent(),
+		NoWait: r.offer.GetNoWait(), Urgent: r.offer.GetUrgent(), StartBy: startBy(r.offer),
 	})
 	if err != nil {
 		return nil, refusedBy(err)
@@ -193,6 +193,14 @@
 	return res.Release, nil
 }
 
+// startBy returns the time by which a waiting request must start; zero means its deadline.
+func startBy(offer *wire.Offer) time.Time {
+	if offer.GetStartWithinUs() == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(offer.GetStartWithinUs()) * time.Microsecond)
+}
+
 // confirm tells the entry that a slot is reserved and waits for its commit.
 func (o *Owner) confirm(r *run, b *backend, res *admission.Reservation) error {
 	if err := r.x.Send(wire.AdmittedEnvelope(o.load())); err != nil {
@@ -361,20 +369,19 @@
 	case e.Code == CodeBackendLost:
 		b.lost = append(b.lost, lostRequest{at: now, fingerprint: r.offer.GetFingerprint()})
 	}
-	if outOfTime(reply, e) && latency < b.health.overdue(healthKey(r.offer)) {
-		b.health.cancel(r.trial) // The request had less time than others usually take.
+	late := outOfTime(reply, e)
+	failed := err != nil || reply.Status >= http.StatusInternalServerError
+	// A request that had less time than others usually take says nothing either.
+	if failed && o.calls.explain(now, r.began, late) || late && latency < b.health.overdue(healthKey(r.offer)) {
+		b.health.cancel(r.trial)
 		return admission.Canceled
 	}
 	if err != nil {
 		o.record(b, r, now, false)
 		return admission.Failure
 	}
-	if reply.Status >= http.StatusInternalServerError && o.callFailed.After(r.began) {
-		b.health.cancel(r.trial)
-		return admission.Canceled
-	}
 	slow := b.health.slow(healthKey(r.offer), latency)
-	ok := reply.Status < http.StatusInternalServerError && !slow
+	ok := !failed && !slow
 	o.record(b, r, now, ok)
 	if !ok {
 		return admission.Failure
