Let two nodes of a zone watch the store and the others follow them

Change: nodes of a zone rank each other by a hash; the first two watch the store, the others ask one of them and hold the question open until something changes. A node without a reader to follow reads the store itself. Also: the own row is published although the table is still empty, and requests that arrive late in a stop are refused, as one was cut when the grace time ended.

--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -56,6 +56,8 @@
 	dialect platform.Dialect
 	peers   *peers
 
+	stopped atomic.Bool
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
 	usual   map[string]time.Duration // by route
@@ -83,6 +85,10 @@
 	calling bool
 }
 
+// Stop refuses all further requests of callers. Calls of the backend server are
+// still taken, because the requests that wait for them may finish.
+func (e *Entry) Stop() { e.stopped.Store(true) }
+
 // Handle answers one request. ctx ends when the caller leaves.
 func (e *Entry) Handle(ctx context.Context, r *h1.Request) *h1.Answer {
 	q := &request{Request: r, id: e.dialect.RequestID(r.Header), view: e.cfg.Fleet.View(), tried: make(map[string]bool)}
@@ -130,6 +136,9 @@
 	if q.route == nil {
 		return refuse(http.StatusNotFound, "no-route", "no route matches the request")
 	}
+	if e.stopped.Load() && !q.isCall() {
+		return verdict.Refuse("stopping", "this node is about to stop", retryAfter)
+	}
 	if err := e.authenticate(q); err != nil {
 		return err
 	}
--- /dev/null
+++ b/mesh/fleet/follow.go
@@ -0,0 +1,279 @@
+package fleet
+
+import (
+	"context"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoildock.example/mesh/clock"
+	"trefoildock.example/platform"
+)
+
+const (
+	// readersPerZone is the number of nodes of an availability zone that watch the
+	// store. The others follow one of them, which costs no call of the store and no
+	// bytes between zones. Two bear the loss of one.
+	readersPerZone = 2
+	// followRanks is the number of nodes that a follower tries before it reads the
+	// store itself.
+	followRanks = 4
+	// followWait is how long a followed node holds a question open.
+	followWait = time.Second
+	// followTimeout bounds one question beyond its wait.
+	followTimeout = 350 * time.Millisecond
+	// followMaxAge is the age of a confirmation from which another node is followed.
+	followMaxAge = 2800 * time.Millisecond
+	// followPause is how long a node that did not help is not followed again.
+	followPause = 4 * time.Second
+	// directTime is how long a node without anyone to follow reads the store itself.
+	directTime = 4 * time.Second
+	// askAfter is the age of the own confirmation from which any node is asked.
+	askAfter = 3 * time.Second
+	// askInterval is the time between two rounds of such questions, askPeers the
+	// number of nodes asked in one round, and askTimeout the bound of one question.
+	askInterval = 400 * time.Millisecond
+	askPeers    = 3
+	askTimeout  = 350 * time.Millisecond
+)
+
+// Knowledge is what a node knows of the store beyond what another one knows.
+type Knowledge struct {
+	// Age is the time since the store confirmed the configuration.
+	Age time.Duration
+	// Waited is the time from the receipt of the question to the answer.
+	Waited        time.Duration
+	ConfigVersion uint64
+	// Document is the configuration, if it is newer than that of the asking node.
+	Document []byte
+	// OperatorRevision is the revision of ZonesOut.
+	OperatorRevision uint64
+	ZonesOut         []string
+	// Members are the changed rows, or all rows if Whole is set.
+	Members platform.Changes
+	Whole   bool
+}
+
+// Known are the revisions that an asking node holds.
+type Known struct {
+	ConfigVersion, OperatorRevision, MembersRevision uint64
+	// Wait is how long the other node may wait for a change.
+	Wait time.Duration
+}
+
+// Answer returns what another node does not know, after waiting for a change.
+// It returns false if this node was never confirmed.
+func (s *State) Answer(ctx context.Context, k Known) (Knowledge, bool) {
+	received := clock.Now()
+	if k.Wait > 0 {
+		ctx, cancel := context.WithTimeout(ctx, min(k.Wait, followWait))
+		s.awaitChange(ctx, k)
+		cancel()
+	}
+	age, ok := s.Age()
+	if !ok {
+		return Knowledge{}, false
+	}
+	out := Knowledge{Age: age, Waited: clock.Now().Sub(received)}
+	s.ask(ctx, func() {
+		if s.config != nil {
+			out.ConfigVersion = s.config.Version
+		}
+		if out.ConfigVersion > k.ConfigVersion {
+			out.Document = s.document
+		}
+		out.OperatorRevision, out.ZonesOut = s.operatorAt, slices.Sorted(maps.Keys(s.zonesOut))
+		out.Members.Rows, out.Whole = s.table.since(k.MembersRevision)
+		out.Members.Revision = s.table.revision
+	})
+	return out, true
+}
+
+// awaitChange returns when this node knows more than the other, or ctx ends.
+func (s *State) awaitChange(ctx context.Context, k Known) {
+	for ctx.Err() == nil {
+		changed := *s.changed.Load()
+		held := s.held()
+		if held.ConfigVersion > k.ConfigVersion || held.OperatorRevision > k.OperatorRevision || held.MembersRevision > k.MembersRevision {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// held returns the revisions of the published view.
+func (s *State) held() Known {
+	v := s.View()
+	k := Known{OperatorRevision: v.operatorAt, MembersRevision: v.Revision}
+	if v.Config != nil {
+		k.ConfigVersion = v.Config.Version
+	}
+	return k
+}
+
+// learn takes over what another node knows. sent is when it was asked.
+func (s *State) learn(ctx context.Context, k Knowledge, sent clock.Instant) {
+	s.ask(ctx, func() {
+		changed := k.Document != nil && s.applyConfig(k.Document)
+		if k.OperatorRevision > s.operatorAt {
+			s.operatorAt = k.OperatorRevision
+			changed = s.replaceZones(k.ZonesOut) || changed
+		}
+		before := s.table.revision
+		fresh := s.table.merge(k.Members, k.Whole)
+		s.applyRows(fresh)
+		if changed || len(fresh) > 0 || s.table.revision != before {
+			s.publishView()
+		}
+		if s.config != nil && s.config.Version >= k.ConfigVersion {
+			// The age was taken no earlier than the wait after the question was sent.
+			s.confirm(sent.Add(k.Waited - k.Age))
+		}
+	})
+}
+
+func (s *State) replaceZones(names []string) bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	if maps.Equal(out, s.zonesOut) {
+		return false
+	}
+	s.zonesOut = out
+	s.cfg.Logger.Log("event", "availability zones evacuated", "zones", strings.Join(names, ","), "revision", s.operatorAt)
+	return true
+}
+
+// rankInZone orders the nodes of the own zone by a hash, so that all of them
+// agree on who reads the store.
+func (s *State) rankInZone() []*Member {
+	var out []*Member
+	for _, m := range s.View().Nodes {
+		if m.Zone == s.cfg.Self.Zone {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Member) int {
+		if ha, hb := hashOf(a.Node), hashOf(b.Node); ha != hb {
+			if ha < hb {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.Node, b.Node)
+	})
+	return out
+}
+
+func hashOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // Never fails.
+	return h.Sum64()
+}
+
+// leaders returns the nodes to follow, the first ranks of the zone. It returns
+// none if this node is a reader itself.
+func (s *State) leaders() []*Member {
+	ranked := s.rankInZone()
+	own := slices.IndexFunc(ranked, func(m *Member) bool { return m.Node == s.cfg.Self.Node })
+	if own < readersPerZone {
+		return nil // Also if the own row is not known yet.
+	}
+	return ranked[:min(followRanks, own)]
+}
+
+// followLoop follows readers of the zone while this node is none. It closes the
+// gate of the store while it has someone to follow.
+func (s *State) followLoop(ctx context.Context) {
+	avoid := make(map[string]time.Time)
+	for ctx.Err() == nil {
+		m := s.chooseLeader(avoid)
+		if m == nil {
+			s.gate.open()
+			pause(ctx, followWait)
+			continue
+		}
+		if err := s.followOnce(ctx, m); err != nil {
+			avoid[m.Node] = time.Now().Add(followPause)
+			s.cfg.Logger.Log("event", "reader lost", "reader", m.Node, "err", err)
+			continue
+		}
+		s.gate.close()
+	}
+}
+
+// chooseLeader returns the node to follow, or nil to read the store.
+func (s *State) chooseLeader(avoid map[string]time.Time) *Member {
+	now := time.Now()
+	for _, m := range s.leaders() {
+		if now.After(avoid[m.Node]) {
+			return m
+		}
+	}
+	return nil
+}
+
+// followOnce asks a node once and waits for its answer.
+func (s *State) followOnce(ctx context.Context, m *Member) error {
+	known := s.held()
+	known.Wait = followWait
+	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
+	defer cancel()
+	sent := clock.Now()
+	k, err := s.cfg.AskPeer(ctx, m.Address, known)
+	if err != nil {
+		return err
+	}
+	if k.Age > followMaxAge {
+		return errors.Newf("its confirmation is %s old", k.Age)
+	}
+	s.learn(ctx, k, sent)
+	return nil
+}
+
+// askAround asks nodes of any zone while the own confirmation is old. The store
+// may turn away some machines and serve the others.
+func (s *State) askAround(ctx context.Context) {
+	for ctx.Err() == nil {
+		age, known := s.Age()
+		if known && age < askAfter {
+			pause(ctx, askAfter-age)
+			continue
+		}
+		s.askRound(ctx)
+		pause(ctx, askInterval)
+	}
+}
+
+func (s *State) askRound(ctx context.Context) {
+	var addresses []string
+	for name, m := range s.View().Nodes {
+		if name != s.cfg.Self.Node {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(len(addresses), askPeers)] {
+		go s.askOne(ctx, address)
+	}
+}
+
+func (s *State) askOne(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sent := clock.Now()
+	k, err := s.cfg.AskPeer(ctx, address, s.held())
+	if err != nil {
+		return // Another node is asked in the next round.
+	}
+	s.learn(ctx, k, sent)
+}
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -37,15 +37,7 @@
 
 // ownRow returns the own row as the control goroutine knows it.
 func (s *State) ownRow(ctx context.Context) (m *Member, ready bool) {
-	done := make(chan struct{})
-	s.post(ctx, func() {
-		m, ready = s.members[s.cfg.Self.Node], s.membersRead
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	s.ask(ctx, func() { m, ready = s.members[s.cfg.Self.Node], s.table.known })
 	return m, ready
 }
 
@@ -90,11 +82,10 @@
 	}
 	s.storeTime.observe(written.StoreTime)
 	row := platform.Change{Row: platform.Row{Key: key, Value: value, Revision: written.Revision}, Removed: value == nil}
-	s.post(ctx, func() {
-		if current := s.members[s.cfg.Self.Node]; current == nil || current.revision < written.Revision {
-			s.applyMember(row)
-			s.publishView()
-		}
+	s.ask(ctx, func() {
+		// Only the own row is known at the new revision, so that of the table stays.
+		s.applyRows(s.table.merge(platform.Changes{Rows: []platform.Change{row}, Revision: s.table.revision}, false))
+		s.publishView()
 	})
 	return nil
 }
@@ -104,17 +95,7 @@
 	if err != nil {
 		return errors.CombineErrors(cause, err)
 	}
-	done := make(chan struct{})
-	s.post(ctx, func() {
-		if changes.Revision >= s.membersAt {
-			s.applyMembers(changes, true)
-		}
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	s.ask(ctx, func() { s.applyMembers(changes, true) })
 	return cause
 }
 
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -20,7 +20,7 @@
 const (
 	// confirmWait is how long a watch of the operator's table stays open. Its
 	// answer confirms the configuration; a shorter wait costs more calls.
-	confirmWait = 2500 * time.Millisecond
+	confirmWait = 2 * time.Second
 	// memberWait is the same for the table of members, which needs no confirmation.
 	memberWait = 15 * time.Second
 	// memberPause joins changes of members that come close together, as when all
@@ -49,42 +49,35 @@
 	Operator, Members Table
 	// Backend returns the backend server to publish, or nil.
 	Backend func() *Backend
-	// AskPeer asks another node for its confirmation; nil asks nobody.
-	AskPeer func(ctx context.Context, address string, version uint64) (Confirmation, error)
+	// AskPeer asks another node for what it knows.
+	AskPeer func(ctx context.Context, address string, known Known) (Knowledge, error)
 	// OnView is told of each new view.
 	OnView func(*View)
 	Logger log.Logger
 }
 
-// Confirmation is what a node knows of the newest configuration.
-type Confirmation struct {
-	Version uint64
-	// Age is the time since the store confirmed the version.
-	Age time.Duration
-	// Document is the configuration as the operator wrote it, if it is newer than
-	// the asking node's.
-	Document []byte
-}
-
 // State keeps the beliefs of a node.
 type State struct {
 	cfg       Config
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64 // clock.Instant; 0 before the first confirmation
-	document  atomic.Pointer[[]byte]
+	// changed is closed and replaced with each new view.
+	changed   atomic.Pointer[chan struct{}]
 	storeTime storeClock
+	// gate is closed while the node follows another one in place of the store.
+	gate gate
 
 	events  chan func()
 	publish chan struct{}
 
 	// The fields below belong to the control goroutine.
-	config       *routing.Config
-	zonesOut     map[string]bool
-	members      map[string]*Member
-	crashes      map[string]crashRecord
-	membersAt    uint64
-	operatorRead bool
-	membersRead  bool
+	config     *routing.Config
+	document   []byte
+	zonesOut   map[string]bool
+	operatorAt uint64
+	table      rowTable
+	members    map[string]*Member
+	crashes    map[string]crashRecord
 }
 
 // New returns a state that knows nothing.
@@ -94,6 +87,8 @@
 		zonesOut: make(map[string]bool), members: make(map[string]*Member), crashes: make(map[string]crashRecord),
 	}
 	s.view.Store(emptyView())
+	changed := make(chan struct{})
+	s.changed.Store(&changed)
 	return s
 }
 
@@ -110,20 +105,6 @@
 	return clock.Now().Sub(clock.Instant(at)), true
 }
 
-// Confirmation returns what the node can tell another one.
-func (s *State) Confirmation(version uint64) (Confirmation, bool) {
-	age, ok := s.Age()
-	view := s.View()
-	if !ok || view.Config == nil {
-		return Confirmation{}, false
-	}
-	c := Confirmation{Version: view.Config.Version, Age: age}
-	if document := s.document.Load(); document != nil && view.Config.Version > version {
-		c.Document = *document
-	}
-	return c, true
-}
-
 // StoreNow estimates the store's clock. The estimate is at most the true value.
 func (s *State) StoreNow() (time.Duration, bool) { return s.storeTime.now() }
 
@@ -141,9 +122,8 @@
 	go s.watchOperator(ctx, refresh)
 	go s.watchMembers(ctx, refresh)
 	go s.publishLoop(ctx)
-	if s.cfg.AskPeer != nil {
-		go s.confirmWithPeers(ctx)
-	}
+	go s.followLoop(ctx)
+	go s.askAround(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -161,6 +141,16 @@
 	}
 }
 
+// ask runs f on the control goroutine and waits for it.
+func (s *State) ask(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	s.post(ctx, func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // confirm records that the configuration was the newest one at an instant.
 func (s *State) confirm(at clock.Instant) {
 	for {
@@ -176,7 +166,7 @@
 func (s *State) watchOperator(ctx context.Context, refresh chan<- struct{}) {
 	var after uint64
 	read := true
-	s.follow(ctx, "operator", func(ctx context.Context) error {
+	s.readWhileOpen(ctx, "operator", func(ctx context.Context) error {
 		changes, err := s.next(ctx, s.cfg.Operator, &read, after, confirmWait)
 		if err != nil {
 			select {
@@ -188,12 +178,7 @@
 		whole := read
 		after, read = changes.Revision, false
 		at := s.storeTime.observe(changes.StoreTime)
-		done := make(chan struct{})
-		s.post(ctx, func() { s.applyOperator(changes, whole); s.confirm(at); close(done) })
-		select {
-		case <-done:
-		case <-ctx.Done():
-		}
+		s.ask(ctx, func() { s.applyOperator(changes, whole); s.confirm(at) })
 		return nil
 	})
 }
@@ -202,7 +187,7 @@
 func (s *State) watchMembers(ctx context.Context, refresh <-chan struct{}) {
 	var after uint64
 	read := true
-	s.follow(ctx, "members", func(ctx context.Context) error {
+	s.readWhileOpen(ctx, "members", func(ctx context.Context) error {
 		call, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
@@ -240,14 +225,20 @@
 	return changes, err
 }
 
-// follow calls f until ctx ends, with a growing pause after failures, and logs
-// when the store is lost and regained.
-func (s *State) follow(ctx context.Context, name string, f func(context.Context) error) {
+// readWhileOpen calls f while the gate is open, with a growing pause after failures,
+// and logs when the store is lost and regained.
+func (s *State) readWhileOpen(ctx context.Context, name string, f func(context.Context) error) {
 	wait := minRetry
 	var lostAt time.Time
 	for ctx.Err() == nil {
-		err := f(ctx)
+		s.gate.wait(ctx)
+		call, cancel := s.gate.whileOpen(ctx)
+		err := f(call)
+		closed := call.Err() != nil
+		cancel()
 		switch {
+		case closed && ctx.Err() == nil:
+			continue // Another node is followed from now on.
 		case err == nil:
 			if !lostAt.IsZero() {
 				s.cfg.Logger.Log("event", "store regained", "table", name, "after", time.Since(lostAt))
@@ -276,8 +267,11 @@
 
 // applyOperator takes over rows of the operator's table.
 func (s *State) applyOperator(c platform.Changes, whole bool) {
-	changed := !s.operatorRead
-	s.operatorRead = true
+	changed := s.operatorAt == 0
+	if c.Revision < s.operatorAt {
+		return // Another node told of a newer state.
+	}
+	s.operatorAt = c.Revision
 	if whole {
 		out := make(map[string]bool)
 		for _, row := range c.Rows {
@@ -331,17 +325,20 @@
 		return false
 	}
 	s.config = next
-	s.document.Store(&document)
+	s.document = document
 	s.cfg.Logger.Log("event", "configuration in force", "version", next.Version)
 	return true
 }
 
 // applyMembers takes over rows of the table of members.
 func (s *State) applyMembers(c platform.Changes, whole bool) {
-	if whole {
-		s.members, s.crashes = make(map[string]*Member), make(map[string]crashRecord)
-	}
-	for _, row := range c.Rows {
+	s.applyRows(s.table.merge(c, whole))
+	s.publishView()
+}
+
+// applyRows takes over changed rows of the table of members.
+func (s *State) applyRows(rows []platform.Change) {
+	for _, row := range rows {
 		switch {
 		case strings.HasPrefix(row.Key, memberPrefix):
 			s.applyMember(row)
@@ -349,8 +346,6 @@
 			s.applyCrash(row)
 		}
 	}
-	s.membersAt, s.membersRead = c.Revision, true
-	s.publishView()
 	s.Publish() // The own row may be missing or differ.
 }
 
@@ -399,7 +394,7 @@
 func (s *State) publishView() {
 	v := &View{
 		Config: s.config, ZonesOut: s.zonesOut, Nodes: maps.Clone(s.members),
-		Owners: make(map[string][]*Member), Convicted: make(map[string]bool), Revision: s.membersAt,
+		Owners: make(map[string][]*Member), Convicted: make(map[string]bool), Revision: s.table.revision, operatorAt: s.operatorAt,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.members)) {
 		m := s.members[name]
@@ -418,5 +413,7 @@
 		}
 	}
 	s.view.Store(v)
+	next := make(chan struct{})
+	close(*s.changed.Swap(&next))
 	s.cfg.OnView(v)
 }
--- a/mesh/fleet/view.go
+++ b/mesh/fleet/view.go
@@ -30,6 +30,8 @@
 	Convicted map[string]bool
 	// Revision is the store's revision of the members.
 	Revision uint64
+
+	operatorAt uint64
 }
 
 // Member is a node with the backend server on its machine.
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -70,7 +70,7 @@
 	running            int
 	// leftID is a backend server that said before this process started that it leaves.
 	leftID string
-	calls calls
+	calls  calls
 }
 
 // backend is one start of the backend server. The fields are guarded by Owner.mu.
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -10,6 +10,7 @@
 	"trefoildock.example/link"
 	"trefoildock.example/mesh/fleet"
 	"trefoildock.example/mesh/quota"
+	"trefoildock.example/platform"
 	"trefoildock.example/routing"
 	"trefoildock.example/wire"
 )
@@ -37,8 +38,8 @@
 	switch m := call.GetBody().(type) {
 	case *wire.Call_Take:
 		a = &wire.Answer{Body: &wire.Answer_Take{Take: n.answerTake(m.Take)}}
-	case *wire.Call_Confirm:
-		a = &wire.Answer{Body: &wire.Answer_Confirm{Confirm: n.answerConfirm(m.Confirm)}}
+	case *wire.Call_Follow:
+		a = &wire.Answer{Body: &wire.Answer_Follow{Follow: n.answerFollow(m.Follow)}}
 	default:
 		return errors.New("unknown call")
 	}
@@ -133,26 +134,47 @@
 	}, nil
 }
 
-// answerConfirm tells another node how recently the configuration was confirmed.
-func (n *Node) answerConfirm(c *wire.Confirm) *wire.ConfirmAnswer {
-	known, ok := n.fleet.Confirmation(c.GetConfigVersion())
+// answerFollow tells another node what it does not know of the store.
+func (n *Node) answerFollow(f *wire.Follow) *wire.FollowAnswer {
+	k, ok := n.fleet.Answer(context.Background(), fleet.Known{
+		ConfigVersion: f.GetConfigVersion(), OperatorRevision: f.GetOperatorRevision(),
+		MembersRevision: f.GetMembersRevision(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond,
+	})
 	if !ok {
-		return &wire.ConfirmAnswer{AgeUs: -1}
+		return &wire.FollowAnswer{AgeUs: -1}
 	}
-	return &wire.ConfirmAnswer{ConfigVersion: known.Version, AgeUs: known.Age.Microseconds(), Document: known.Document}
+	out := &wire.FollowAnswer{
+		AgeUs: k.Age.Microseconds(), WaitedUs: k.Waited.Microseconds(), ConfigVersion: k.ConfigVersion, Document: k.Document,
+		OperatorRevision: k.OperatorRevision, ZonesOut: k.ZonesOut, MembersRevision: k.Members.Revision, Whole: k.Whole,
+	}
+	for _, row := range k.Members.Rows {
+		out.Rows = append(out.Rows, &wire.StoredRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Removed: row.Removed})
+	}
+	return out
 }
 
-// askConfirmation asks another node for its confirmation.
-func (n *Node) askConfirmation(ctx context.Context, address string, version uint64) (fleet.Confirmation, error) {
-	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_Confirm{Confirm: &wire.Confirm{ConfigVersion: version}}})
+// askKnowledge asks another node what it knows of the store.
+func (n *Node) askKnowledge(ctx context.Context, address string, known fleet.Known) (fleet.Knowledge, error) {
+	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_Follow{Follow: &wire.Follow{
+		ConfigVersion: known.ConfigVersion, OperatorRevision: known.OperatorRevision,
+		MembersRevision: known.MembersRevision, WaitUs: known.Wait.Microseconds(),
+	}}})
 	if err != nil {
-		return fleet.Confirmation{}, err
+		return fleet.Knowledge{}, err
 	}
-	c := a.GetConfirm()
-	if c == nil || c.GetAgeUs() < 0 {
-		return fleet.Confirmation{}, errors.New("the node has no confirmation")
+	f := a.GetFollow()
+	if f == nil || f.GetAgeUs() < 0 {
+		return fleet.Knowledge{}, errors.New("the node was never confirmed")
 	}
-	return fleet.Confirmation{
-		Version: c.GetConfigVersion(), Age: time.Duration(c.GetAgeUs()) * time.Microsecond, Document: c.GetDocument(),
-	}, nil
+	k := fleet.Knowledge{
+		Age: time.Duration(f.GetAgeUs()) * time.Microsecond, Waited: time.Duration(f.GetWaitedUs()) * time.Microsecond, ConfigVersion: f.GetConfigVersion(), Document: f.GetDocument(),
+		OperatorRevision: f.GetOperatorRevision(), ZonesOut: f.GetZonesOut(), Whole: f.GetWhole(),
+	}
+	k.Members.Revision = f.GetMembersRevision()
+	for _, row := range f.GetRows() {
+		k.Members.Rows = append(k.Members.Rows, platform.Change{
+			Row: platform.Row{Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision()}, Removed: row.GetRemoved(),
+		})
+	}
+	return k, nil
 }
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -44,6 +44,9 @@
 	// leaveNotice is the time after SIGTERM in which callers learn that the node is
 	// not ready: two questions, one second apart.
 	leaveNotice = 2200 * time.Millisecond
+	// acceptTime is the time after SIGTERM in which requests are still taken. Later
+	// ones are refused, so that every request that was taken can finish.
+	acceptTime = 2900 * time.Millisecond
 	// leaveQuiet is how long no request may be under way before the process ends.
 	leaveQuiet = 200 * time.Millisecond
 	// graceMargin is kept back from the time before SIGKILL.
@@ -127,7 +130,7 @@
 	n.fleet = fleet.New(fleet.Config{
 		Self:     fleet.Member{Node: s.Node, Zone: s.Zone, Address: address, Incarnation: n.incarnation},
 		Operator: n.store.Rows(platform.OperatorTable), Members: n.store.Rows(memberTable),
-		Backend: n.published, AskPeer: n.askConfirmation, OnView: n.viewChanged, Logger: n.logger,
+		Backend: n.published, AskPeer: n.askKnowledge, OnView: n.viewChanged, Logger: n.logger,
 	})
 	n.keeper = &quota.Keeper{
 		Self: quota.Home{Node: s.Node, Address: address}, Table: n.store.Rows(leaseTable), Logger: n.logger,
@@ -256,6 +259,8 @@
 	n.front.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	go func() { defer cancel(); n.keeper.Stop(ctx) }()
+	refuse := time.AfterFunc(acceptTime, n.entry.Stop)
+	defer refuse.Stop()
 	limit := started.Add(max(n.settings.Bounds.Grace-graceMargin, leaveNotice))
 	quietSince := time.Now()
 	for time.Now().Before(limit) {
