--- a/mesh/entry/peers.go
+++ b/mesh/entry/peers.go
@@ -97,13 +97,6 @@
 	}
 }
 
-// latency returns the usual time of a request at an owner, or 0.
-func (p *peers) latency(node string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Duration(p.get(node).load.LatencyUs) * time.Microsecond
-}
-
 // occupancy returns the requests that run or wait at an owner per slot, by its
 // last report.
 func (p *peers) occupancy(m *fleet.Member) float64 {
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -28,13 +28,13 @@
 	// followTimeout bounds one question beyond its wait.
 	followTimeout = 350 * time.Millisecond
 	// followMaxAge is the age of a confirmation from which another node is followed.
-	followMaxAge = 2800 * time.Millisecond
+	// It is a little above the usual age, confirmWait, so that a follower has a new
+	// configuration within 2 s also if its reader is cut off from the store.
+	followMaxAge = 1300 * time.Millisecond
 	// followPause is how long a node that did not help is not followed again.
 	followPause = 4 * time.Second
-	// directTime is how long a node without anyone to follow reads the store itself.
-	directTime = 4 * time.Second
 	// askAfter is the age of the own confirmation from which any node is asked.
-	askAfter = 3 * time.Second
+	askAfter = 2 * time.Second
 	// askInterval is the time between two rounds of such questions, askPeers the
 	// number of nodes asked in one round, and askTimeout the bound of one question.
 	askInterval = 400 * time.Millisecond
@@ -70,12 +70,13 @@
 // It returns false if this node was never confirmed.
 func (s *State) Answer(ctx context.Context, k Known) (Knowledge, bool) {
 	received := clock.Now()
-	if k.Wait > 0 {
-		ctx, cancel := context.WithTimeout(ctx, min(k.Wait, followWait))
+	age, ok := s.Age()
+	if wait := min(k.Wait, followWait, followMaxAge-age); ok && wait > 0 && !s.storeLost.Load() {
+		ctx, cancel := context.WithTimeout(ctx, wait)
 		s.awaitChange(ctx, k)
 		cancel()
+		age, ok = s.Age()
 	}
-	age, ok := s.Age()
 	if !ok {
 		return Knowledge{}, false
 	}
@@ -233,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	if k.Age > followMaxAge {
+	if k.Age >= followMaxAge {
 		return errors.Newf("its confirmation is %s old", k.Age)
 	}
 	s.learn(ctx, k, sent)
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -19,8 +19,9 @@
 
 const (
 	// confirmWait is how long a watch of the operator's table stays open. Its
-	// answer confirms the configuration; a shorter wait costs more calls.
-	confirmWait = 2 * time.Second
+	// answer confirms the configuration; a shorter wait costs more calls, a longer
+	// one delays the discovery that the store cannot be reached.
+	confirmWait = time.Second
 	// memberWait is the same for the table of members, which needs no confirmation.
 	memberWait = 15 * time.Second
 	// memberPause joins changes of members that come close together, as when all
@@ -64,6 +65,8 @@
 	// changed is closed and replaced with each new view.
 	changed   atomic.Pointer[chan struct{}]
 	storeTime storeClock
+	// storeLost is set while the last call about the operator's table failed.
+	storeLost atomic.Bool
 	// gate is closed while the node follows another one in place of the store.
 	gate gate
 
@@ -169,6 +172,7 @@
 	s.readWhileOpen(ctx, "operator", func(ctx context.Context) error {
 		changes, err := s.next(ctx, s.cfg.Operator, &read, after, confirmWait)
 		if err != nil {
+			s.storeLost.Store(true)
 			select {
 			case refresh <- struct{}{}:
 			default:
@@ -177,6 +181,7 @@
 		}
 		whole := read
 		after, read = changes.Revision, false
+		s.storeLost.Store(false)
 		at := s.storeTime.observe(changes.StoreTime)
 		s.ask(ctx, func() { s.applyOperator(changes, whole); s.confirm(at) })
 		return nil
--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -203,15 +204,14 @@
 		return
 	}
 	conn.since = time.Now()
-	kept := c.idle[:0]
-	for _, other := range c.idle {
-		if time.Since(other.since) > other.keep {
+	c.idle = slices.DeleteFunc(c.idle, func(other *clientConn) bool {
+		expired := time.Since(other.since) > other.keep
+		if expired {
 			other.Close()
-			continue
 		}
-		kept = append(kept, other)
-	}
-	c.idle = append(kept, conn)
+		return expired
+	})
+	c.idle = append(c.idle, conn)
 }
 
 // exchange sends the call on the connection and reads its answer.
--- a/mesh/h1/server.go
+++ b/mesh/h1/server.go
@@ -262,8 +262,7 @@
 		c.answers <- p
 		if refusal != nil {
 			p.answer <- refusal
-			<-p.sent
-			c.linger()
+			c.watchClose(p)
 			return
 		}
 		if !isRead(r.Method) && previous != nil {
@@ -301,16 +300,6 @@
 	<-p.sent
 }
 
-// linger reads what the caller still sends, so that it can read the refusal.
-func (c *serverConn) linger() {
-	if tcp, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		_ = tcp.CloseWrite() // The peer may be gone.
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	c.limited.N = lingerBytes
-	_, _ = io.Copy(io.Discard, c.br) // Ends with the deadline at the latest.
-}
-
 // awaitRequest waits for the first byte of a request. It returns false when
 // the connection has ended or stayed idle for too long.
 func (c *serverConn) awaitRequest(limits Limits) bool {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -49,7 +49,6 @@
 	return &Budget{credits: c, credit: c.Max, last: now}
 }
 
-
 // Request counts a new request, which earns credit.
 func (b *Budget) Request(now time.Time) {
 	b.earn(now)
