Send only what admission needs with an offer; ask fewer owners in other zones

Change: fields follow with the commit; at most three owners of other zones are asked before a request waits; a suspected server is remembered for 1.5 s for requests that must not repeat; changes of members are joined for 0.7 s.

--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -18,8 +18,9 @@
 
 const (
 	// maxProbedOwners bounds the owners that are asked for a free slot before the
-	// request waits at one of them.
+	// request waits at one of them, maxFarOwners those in other zones.
 	maxProbedOwners = 6
+	maxFarOwners    = 3
 	// maxSends bounds how often a request is sent, also to backend servers that
 	// did not run it.
 	maxSends = 4
@@ -209,7 +210,7 @@
 		e.cfg.Logger.Log("event", "request sent", "request", q.id, "owner", r.member.Node, "zone", r.member.Zone,
 			"backend", r.member.BackendID(), "left_ms", time.Until(q.deadline).Milliseconds(), "members", q.view.Revision)
 		q.attempts.Add(1)
-		a, err := e.commit(ctx, r, o, q.Payload)
+		a, err := e.commit(ctx, r, q.detailsOf(o), q.Payload)
 		if err == nil && a.Status < http.StatusInternalServerError {
 			e.learn(q.route.Name, time.Since(started))
 		}
@@ -308,7 +309,7 @@
 		}
 	}
 	e.mu.Unlock()
-	return e.peers.rank(out, e.cfg.Zone, time.Now())
+	return e.peers.rank(out, e.cfg.Zone, q.route.Idempotent, time.Now())
 }
 
 func (e *Entry) markTried(q *request, m *fleet.Member) {
@@ -337,10 +338,18 @@
 func (e *Entry) probe(ctx context.Context, q *request, owners []*fleet.Member) (*reservation, *wire.Offer, *fallback, error) {
 	var busy, suspected *fleet.Member
 	var failure error
-	for i, m := range owners {
-		if i == maxProbedOwners || ctx.Err() != nil {
+	near, far := 0, 0
+	for _, m := range owners {
+		if ctx.Err() != nil {
 			break
 		}
+		count, limit := &near, maxProbedOwners
+		if m.Zone != e.cfg.Zone {
+			count, limit = &far, maxFarOwners
+		}
+		if *count++; *count > limit {
+			continue
+		}
 		o := e.offerFor(q, noWait)
 		r, err := e.offer(ctx, m, o, time.Now().Add(offerTimeout))
 		if err == nil {
@@ -354,6 +363,7 @@
 				busy = m
 			}
 		case owner.CodeSuspected:
+			e.peers.suspected(m.Node, time.Now())
 			if suspected == nil {
 				suspected = m
 			}
@@ -390,18 +400,27 @@
 	return nil, nil, failure
 }
 
-// offerFor returns the offer of one attempt.
+// offerFor returns the offer of one attempt. It names only what admission needs;
+// the details follow with the commit.
 func (e *Entry) offerFor(q *request, mode offerMode) *wire.Offer {
-	o := proto.CloneOf(q.offer)
-	o.TimeoutUs = max(time.Until(q.deadline).Microseconds(), 1)
-	o.NoWait = mode != queue
+	o := &wire.Offer{
+		RequestId: q.id, Service: q.service, Team: q.offer.Team, TeamWeight: q.offer.TeamWeight,
+		Idempotent: q.offer.Idempotent, Urgent: q.offer.Urgent, NoWait: mode != queue, LastResort: mode == lastResort,
+		TimeoutUs: max(time.Until(q.deadline).Microseconds(), 1),
+	}
 	if mode == queue {
 		o.StartWithinUs = max(time.Until(e.startBy(q)).Microseconds(), 1)
 	}
-	o.LastResort = mode == lastResort
 	return o
 }
 
+// detailsOf completes an accepted offer.
+func (q *request) detailsOf(o *wire.Offer) *wire.Offer {
+	out := proto.CloneOf(q.offer)
+	out.LastResort, out.TimeoutUs = o.GetLastResort(), o.GetTimeoutUs()
+	return out
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -110,7 +110,7 @@
 	defer r.stop()
 	e.peers.begin(r.member.Node)
 	defer e.peers.end(r.member.Node)
-	if err := r.x.Send(commitMessages(body)...); err != nil {
+	if err := r.x.Send(commitMessages(o, body)...); err != nil {
 		return nil, e.linkLost(ctx, r.member, err)
 	}
 	head, err := e.receive(ctx, r)
@@ -123,8 +123,8 @@
 	return e.readBody(ctx, r, head.GetHead())
 }
 
-func commitMessages(body []byte) []*wire.Envelope {
-	out := []*wire.Envelope{wire.CommitEnvelope()}
+func commitMessages(o *wire.Offer, body []byte) []*wire.Envelope {
+	out := []*wire.Envelope{wire.DetailsEnvelope(o)}
 	for len(body) > wire.ChunkBytes {
 		out = append(out, wire.ChunkEnvelope(body[:wire.ChunkBytes], false))
 		body = body[wire.ChunkBytes:]
--- a/mesh/entry/peers.go
+++ b/mesh/entry/peers.go
@@ -19,6 +19,9 @@
 	unreachableMax = 3 * time.Second
 	// suspectedTime is how long a refusal for a suspected backend server is remembered.
 	suspectedTime = 300 * time.Millisecond
+	// suspectedOnceTime is the same for requests that are not idempotent, which a
+	// suspected backend server gets much later.
+	suspectedOnceTime = 1500 * time.Millisecond
 	// zonePenalty is the load by which an owner in another zone must be better.
 	// Bytes between zones cost more than a busier server nearby.
 	zonePenalty = 1.0
@@ -40,6 +43,8 @@
 	own     int // requests of this entry under way
 	avoid   time.Time
 	backoff time.Duration
+	// avoidOnce is like avoid, for requests that are not idempotent.
+	avoidOnce time.Time
 }
 
 func newPeers() *peers { return &peers{byID: make(map[string]*peer)} }
@@ -97,6 +102,13 @@
 	}
 }
 
+// suspected notes that the backend server of an owner failed lately.
+func (p *peers) suspected(node string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(node).avoidOnce = now.Add(suspectedOnceTime)
+}
+
 // occupancy returns the requests that run or wait at an owner per slot, by its
 // last report.
 func (p *peers) occupancy(m *fleet.Member) float64 {
@@ -107,7 +119,7 @@
 }
 
 // rank sorts the owners by how well they suit the next request.
-func (p *peers) rank(owners []*fleet.Member, zone string, now time.Time) []*fleet.Member {
+func (p *peers) rank(owners []*fleet.Member, zone string, idempotent bool, now time.Time) []*fleet.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	type ranked struct {
@@ -116,7 +128,7 @@
 	}
 	list := make([]ranked, 0, len(owners))
 	for _, m := range owners {
-		list = append(list, ranked{m, p.score(m, zone, now)})
+		list = append(list, ranked{m, p.score(m, zone, idempotent, now)})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].score < list[j].score })
 	out := make([]*fleet.Member, len(list))
@@ -127,7 +139,7 @@
 }
 
 // score is the expected occupancy of an owner's slots with penalties; lower is better.
-func (p *peers) score(m *fleet.Member, zone string, now time.Time) float64 {
+func (p *peers) score(m *fleet.Member, zone string, idempotent bool, now time.Time) float64 {
 	e := p.get(m.Node)
 	slots := float64(max(m.Backend.Slots, 1))
 	busy := float64(e.own)
@@ -142,5 +154,8 @@
 	if now.Before(e.avoid) || now.Sub(e.at) < loadAge && e.load.GetWeight() == 0 {
 		score += avoidedPenalty
 	}
+	if !idempotent && now.Before(e.avoidOnce) {
+		score += avoidedPenalty
+	}
 	return score
 }
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -26,7 +26,7 @@
 	memberWait = 15 * time.Second
 	// memberPause joins changes of members that come close together, as when all
 	// nodes start, into one answer.
-	memberPause = 300 * time.Millisecond
+	memberPause = 700 * time.Millisecond
 	// minRetry and maxRetry bound the time between two tries to reach the store.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -51,7 +51,7 @@
 	x       link.Exchange
 	ctx     context.Context //nolint:containedctx // ends with the request
 	cancel  func()
-	commits chan struct{}
+	commits chan *wire.Commit
 	body    chan []byte
 	trial   bool
 	began   time.Time
@@ -62,7 +62,7 @@
 	defer x.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(offer.GetTimeoutUs())*time.Microsecond)
 	defer cancel()
-	r := &run{offer: offer, x: x, ctx: ctx, cancel: cancel, commits: make(chan struct{}, 1), body: make(chan []byte, 1)}
+	r := &run{offer: offer, x: x, ctx: ctx, cancel: cancel, commits: make(chan *wire.Commit, 1), body: make(chan []byte, 1)}
 	o.count(1)
 	defer o.count(-1)
 	go r.receive()
@@ -92,7 +92,7 @@
 		switch m := e.GetBody().(type) {
 		case *wire.Envelope_Commit:
 			select {
-			case r.commits <- struct{}{}:
+			case r.commits <- m.Commit:
 			default:
 			}
 		case *wire.Envelope_Chunk:
@@ -209,7 +209,10 @@
 	timer := time.NewTimer(commitTimeout)
 	defer timer.Stop()
 	select {
-	case <-r.commits:
+	case c := <-r.commits:
+		if details := c.GetDetails(); details != nil {
+			r.offer = details
+		}
 	case <-timer.C:
 		return verdict.Refuse(admission.CodeReservationExpired, "the entry did not commit", time.Second)
 	case <-r.ctx.Done():
--- a/wire/envelope.go
+++ b/wire/envelope.go
@@ -26,6 +26,11 @@
 	return &Envelope{Body: &Envelope_Commit{Commit: &Commit{}}}
 }
 
+// DetailsEnvelope allows the owner to dispatch and completes a short offer.
+func DetailsEnvelope(o *Offer) *Envelope {
+	return &Envelope{Body: &Envelope_Commit{Commit: &Commit{Details: o}}}
+}
+
 // HeadEnvelope carries the head of an answer.
 func HeadEnvelope(h *Head) *Envelope {
 	return &Envelope{Body: &Envelope_Head{Head: h}}
