--- /dev/null
+++ b/mesh/fleet/rows_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/platform"
+)
+
+func change(key string, revision uint64, removed bool) platform.Change {
+	return platform.Change{Row: platform.Row{Key: key, Revision: revision}, Removed: removed}
+}
+
+func keys(rows []platform.Change) (out []string) {
+	for _, r := range rows {
+		name := r.Key
+		if r.Removed {
+			name = "-" + name
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// Guards against a late message that brings back an older row, and against
+// followers that are not told of a removal.
+func TestRowTable(t *testing.T) {
+	var table rowTable
+	table.merge(platform.Changes{Rows: []platform.Change{change("a", 3, false), change("b", 4, false)}, Revision: 5}, true)
+	require.Empty(t, table.merge(platform.Changes{Rows: []platform.Change{change("a", 2, true)}, Revision: 5}, false))
+	require.Equal(t, []string{"c"}, keys(table.merge(platform.Changes{Rows: []platform.Change{change("c", 6, false)}, Revision: 6}, false)))
+	require.Empty(t, table.merge(platform.Changes{Revision: 4}, true), "an older view of the whole table")
+	require.Equal(t, []string{"-b", "-c"}, sorted(keys(table.merge(platform.Changes{Rows: []platform.Change{change("a", 3, false)}, Revision: 8}, true))))
+
+	rows, whole := table.since(6)
+	require.False(t, whole)
+	require.Equal(t, []string{"-b", "-c"}, keys(rows))
+	rows, whole = table.since(1)
+	require.True(t, whole, "the revision is older than what the table remembers")
+	require.Equal(t, []string{"a"}, keys(rows))
+}
+
+func sorted(names []string) []string {
+	if len(names) == 2 && names[0] > names[1] {
+		names[0], names[1] = names[1], names[0]
+	}
+	return names
+}
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -72,6 +72,8 @@
 
 	events  chan func()
 	publish chan struct{}
+	// stopped is closed when the control goroutine has ended.
+	stopped chan struct{}
 
 	// The fields below belong to the control goroutine.
 	config     *routing.Config
@@ -86,7 +88,7 @@
 // New returns a state that knows nothing.
 func New(cfg Config) *State {
 	s := &State{
-		cfg: cfg, events: make(chan func(), 64), publish: make(chan struct{}, 1),
+		cfg: cfg, events: make(chan func(), 64), publish: make(chan struct{}, 1), stopped: make(chan struct{}),
 		zonesOut: make(map[string]bool), members: make(map[string]*Member), crashes: make(map[string]crashRecord),
 	}
 	s.view.Store(emptyView())
@@ -121,6 +123,7 @@
 
 // Run keeps the beliefs until ctx ends.
 func (s *State) Run(ctx context.Context) {
+	defer close(s.stopped)
 	refresh := make(chan struct{}, 1)
 	go s.watchOperator(ctx, refresh)
 	go s.watchMembers(ctx, refresh)
@@ -140,6 +143,7 @@
 func (s *State) post(ctx context.Context, f func()) {
 	select {
 	case s.events <- f:
+	case <-s.stopped:
 	case <-ctx.Done():
 	}
 }
@@ -150,6 +154,7 @@
 	s.post(ctx, func() { f(); close(done) })
 	select {
 	case <-done:
+	case <-s.stopped:
 	case <-ctx.Done():
 	}
 }
--- /dev/null
+++ b/mesh/quota/ledger_test.go
@@ -0,0 +1,72 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoildock.example/routing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var team = &routing.Team{Name: "blue", Rate: 20, Burst: 10}
+
+// granted counts what a ledger gives out within a time if it is asked every millisecond.
+func granted(l *Ledger, t *routing.Team, from time.Time, d time.Duration) int {
+	n := 0
+	for now := from; now.Before(from.Add(d)); now = now.Add(time.Millisecond) {
+		got, _ := l.Take(now, t, 1)
+		n += got
+	}
+	return n
+}
+
+// Guards against a team that gets more than its rate and burst within a window.
+func TestRateAndBurst(t *testing.T) {
+	l := NewLedger(start, true)
+	require.InDelta(t, 110, granted(l, team, start, 5*time.Second), 1)
+	require.InDelta(t, 100, granted(l, team, start.Add(5*time.Second), 5*time.Second), 1)
+	require.InDelta(t, 110, granted(l, team, start.Add(time.Minute), 5*time.Second), 1, "the burst is saved up once")
+}
+
+// Guards against a second burst when another node becomes home.
+func TestLaterHomeStartsWithoutBurst(t *testing.T) {
+	require.InDelta(t, 100, granted(NewLedger(start, false), team, start, 5*time.Second), 1)
+}
+
+func TestRefusalTellsTheWait(t *testing.T) {
+	l := NewLedger(start, false)
+	n, wait := l.Take(start, team, 1)
+	require.Zero(t, n)
+	require.Equal(t, 50*time.Millisecond, wait)
+	n, _ = l.Take(start.Add(wait), team, 1)
+	require.Equal(t, 1, n)
+}
+
+func TestNoLimit(t *testing.T) {
+	n, _ := NewLedger(start, false).Take(start, &routing.Team{Name: "free"}, 3)
+	require.Equal(t, 3, n)
+}
+
+// Guards against nodes that together spend more than the tolerated overrun
+// while there is no home.
+func TestAllowanceOfAllNodes(t *testing.T) {
+	a := Allowance{Window: 5 * time.Second, Over: 0.1, Slack: 20}
+	for _, nodes := range []int{1, 3, 24, 95} {
+		sum := 0
+		for range nodes {
+			if part, ok := a.team(team, nodes); ok {
+				sum += granted(NewLedger(start, true), part, start, 5*time.Second)
+			}
+		}
+		require.LessOrEqual(t, sum, 31, "%d nodes; 110 * 0.1 + 20", nodes)
+	}
+}
+
+// Guards against a retry budget that exceeds its share of the slack in a window.
+func TestRetryLimit(t *testing.T) {
+	limit := RetryLimit("orders", 60, 10*time.Second)
+	require.LessOrEqual(t, granted(NewLedger(start, true), limit, start, 10*time.Second), 36)
+}
