Ask a server that did not run a request again if there is no other; tests of entry, fleet, quota and platform

Cause: a request that its only backend server had turned away was refused although it may be sent there again (TestRepetition, order that did not run).

--- a/cmd/trefoildock/platform_day_test.go
+++ b/cmd/trefoildock/platform_day_test.go
@@ -99,7 +99,7 @@
 	if status != 0 {
 		w.WriteHeader(status)
 	}
-	fmt.Fprintf(w, "%s ran %s %s", b.id, r.Method, body)
+	_, _ = fmt.Fprintf(w, "%s ran %s %s", b.id, r.Method, body)
 }
 
 func (b *dayBackend) set(f func()) {
--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -298,16 +298,22 @@
 	return e
 }
 
-// candidates returns the owners that were not tried, the best first.
+// candidates returns the owners that were not tried, the best first. Once the
+// route allows no further backend server, or there is none, it returns those that
+// were tried: they may be asked again if they did not run the request.
 func (e *Entry) candidates(q *request, view *fleet.View) []*fleet.Member {
 	e.mu.Lock()
-	var out []*fleet.Member
-	exhausted := len(q.tried) >= q.route.MaxAttempts
+	var out, tried []*fleet.Member
 	for _, m := range view.Owners[q.service] {
-		if q.tried[m.Node] == exhausted {
+		if q.tried[m.Node] {
+			tried = append(tried, m)
+		} else {
 			out = append(out, m)
 		}
 	}
+	if len(q.tried) >= q.route.MaxAttempts || len(out) == 0 {
+		out = tried
+	}
 	e.mu.Unlock()
 	return e.peers.rank(out, e.cfg.Zone, q.route.Idempotent, time.Now())
 }
--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -45,8 +45,7 @@
 func (n *nodes) add(name string) *State {
 	client, err := platform.NewClient(platform.ClientConfig{URL: n.url, Timeout: time.Second})
 	require.NoError(n.t, err)
-	var s *State
-	s = New(Config{
+	s := New(Config{
 		Self:     Member{Node: name, Zone: "z", Address: name, Incarnation: name + "-1"},
 		Operator: &table{client.Rows(platform.OperatorTable), n, name}, Members: &table{client.Rows("members"), n, name},
 		Backend: func() *Backend { return &Backend{ID: "i-" + name, Service: "orders", Slots: 3, Serving: true} },
--- a/mesh/h1/client_test.go
+++ b/mesh/h1/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -40,8 +39,8 @@
 	return &Call{Method: "GET", Target: "/", Host: "a", ID: id, Repeatable: repeatable, Header: http.Header{"Id": {id}}}
 }
 
-func echo(conn net.Conn, r *http.Request, fields string) {
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 2\r\n\r\nok", r.Header.Get("Id"), fields)
+func echo(conn net.Conn, r *http.Request) {
+	send(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Id"))
 }
 
 // Guards against an answer to an earlier request being taken for that of the next.
@@ -53,9 +52,9 @@
 				return
 			}
 			if r.Header.Get("Id") == "2" {
-				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nlate")
+				send(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nlate")
 			}
-			echo(conn, r, "")
+			echo(conn, r)
 		}
 	})
 	for _, id := range []string{"1", "2", "3"} {
@@ -76,7 +75,7 @@
 			if err != nil {
 				return
 			}
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nokSURPLUS", r.Header.Get("Id"))
+			send(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nokSURPLUS", r.Header.Get("Id"))
 		}
 	})
 	for _, id := range []string{"1", "2"} {
@@ -95,7 +94,7 @@
 		if err != nil {
 			return
 		}
-		echo(conn, r, "")
+		echo(conn, r)
 		if n == 0 {
 			_, _ = http.ReadRequest(br) // The next request is read and dropped.
 			return
@@ -125,7 +124,7 @@
 			if err != nil || n == 0 && i == 1 {
 				return
 			}
-			echo(conn, r, "")
+			echo(conn, r)
 		}
 	})
 	for _, id := range []string{"1", "2"} {
@@ -144,7 +143,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := backend(t, func(_ int, conn net.Conn, br *bufio.Reader) {
 				_, _ = http.ReadRequest(br)
-				fmt.Fprint(conn, answer)
+				send(conn, "%s", answer)
 			})
 			_, err := c.Do(t.Context(), call("1", false))
 			var failed *CallError
@@ -160,7 +159,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := backend(t, func(_ int, conn net.Conn, br *bufio.Reader) {
 				_, _ = http.ReadRequest(br)
-				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall")
+				send(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall")
 				if reset {
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
@@ -183,7 +182,7 @@
 		if err != nil {
 			return
 		}
-		echo(conn, r, "")
+		echo(conn, r)
 		time.Sleep(time.Second) // Reads nothing of the body meanwhile.
 	})
 	long := call("1", false)
--- a/mesh/h1/server_test.go
+++ b/mesh/h1/server_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	s := &Server{
 		Handler: h, Limits: func() Limits { return limits },
-		Refuse: func(status int, reason string) *Answer { return text(status, reason) },
+		Refuse: text,
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -44,30 +44,40 @@
 	return conn, bufio.NewReader(conn)
 }
 
-func readAnswer(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+// send writes to a peer that may be gone.
+func send(conn net.Conn, format string, args ...any) { _, _ = fmt.Fprintf(conn, format, args...) }
+
+// received is an answer as a caller sees it.
+type received struct {
+	status int
+	last   bool // the connection ends with it
+}
+
+func readAnswer(t *testing.T, br *bufio.Reader) (received, string) {
 	t.Helper()
 	resp, err := http.ReadResponse(br, nil)
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
-	return resp, string(body)
+	return received{resp.StatusCode, resp.Close}, string(body)
 }
 
 // Guards against pipelined answers that overtake each other.
 func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
 	release := make(chan struct{})
 	_, address := listen(t, Limits{}, func(_ context.Context, r *Request) *Answer {
-		if r.URL.Path == "/0" {
+		switch r.URL.Path {
+		case "/0":
 			<-release
-		} else if r.URL.Path == "/4" {
+		case "/4":
 			close(release) // The first request is answered last.
 		}
 		return text(200, r.URL.Path)
 	})
 	conn, br := dial(t, address)
 	for i := range 5 {
-		fmt.Fprintf(conn, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+		send(conn, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
 	}
 	for i := range 5 {
 		_, body := readAnswer(t, br)
@@ -87,7 +97,7 @@
 				return text(499, "")
 			})
 			conn, _ := dial(t, address)
-			fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"+behind)
+			send(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n%s", behind)
 			time.Sleep(10 * time.Millisecond) // Lets the request start; the result does not depend on it.
 			conn.Close()
 			<-ended
@@ -98,10 +108,10 @@
 func TestBodies(t *testing.T) {
 	_, address := listen(t, Limits{BodyBytes: 100}, func(_ context.Context, r *Request) *Answer { return text(200, string(r.Payload)) })
 	conn, br := dial(t, address)
-	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nsized")
+	send(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nsized")
 	_, body := readAnswer(t, br)
 	require.Equal(t, "sized", body)
-	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nchu\r\n4\r\nnked\r\n0\r\n\r\n")
+	send(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nchu\r\n4\r\nnked\r\n0\r\n\r\n")
 	_, body = readAnswer(t, br)
 	require.Equal(t, "chunked", body)
 }
@@ -125,10 +135,10 @@
 		t.Run(name, func(t *testing.T) {
 			_, address := listen(t, limits, func(context.Context, *Request) *Answer { return text(200, "") })
 			conn, br := dial(t, address)
-			fmt.Fprint(conn, c.sent)
+			send(conn, "%s", c.sent)
 			resp, _ := readAnswer(t, br)
-			require.Equal(t, c.status, resp.StatusCode)
-			require.True(t, resp.Close)
+			require.Equal(t, c.status, resp.status)
+			require.True(t, resp.last)
 		})
 	}
 }
@@ -143,7 +153,7 @@
 	})
 	idle, _ := dial(t, address)
 	conn, br := dial(t, address)
-	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	send(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-began
 	require.Eventually(t, func() bool { return s.Connections() == 2 }, 5*time.Second, time.Millisecond)
 	s.Stop()
@@ -152,7 +162,7 @@
 	close(release)
 	resp, body := readAnswer(t, br)
 	require.Equal(t, "done", body)
-	require.True(t, resp.Close)
+	require.True(t, resp.last)
 	_, err = br.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
@@ -170,7 +180,7 @@
 		return text(200, "")
 	})
 	conn, br := dial(t, address)
-	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	send(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
 	time.Sleep(10 * time.Millisecond) // Gives the order a chance to run too early.
 	close(release)
 	readAnswer(t, br)
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -59,7 +59,7 @@
 }
 
 func reply(conn net.Conn, id string, status int, fields, body string) {
-	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, fields, len(body), body)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, fields, len(body), body)
 }
 
 func ok(conn net.Conn, r *http.Request) {
@@ -162,10 +162,10 @@
 		{"refusal that does not say so", func(c net.Conn, r *http.Request) { reply(c, r.Header.Get("Request-Id"), 503, "", "") }, true, CodeBadAnswer, verdict.MayHaveRun},
 		{"closed", func(c net.Conn, _ *http.Request) { c.Close() }, true, CodeBackendLost, verdict.MayHaveRun},
 		{"cut", func(c net.Conn, r *http.Request) {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 9\r\n\r\nhal", r.Header.Get("Request-Id"))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 9\r\n\r\nhal", r.Header.Get("Request-Id"))
 			c.Close()
 		}, true, CodeBadAnswer, verdict.MayHaveRun},
-		{"not HTTP", func(c net.Conn, _ *http.Request) { fmt.Fprint(c, "\x00\x01rubbish\r\n\r\n"); c.Close() }, true, CodeBadAnswer, verdict.MayHaveRun},
+		{"not HTTP", func(c net.Conn, _ *http.Request) { _, _ = fmt.Fprint(c, "\x00\x01rubbish\r\n\r\n"); c.Close() }, true, CodeBadAnswer, verdict.MayHaveRun},
 		{"no signature", func(c net.Conn, r *http.Request) { reply(c, r.Header.Get("Request-Id"), 200, "", "x") }, true, CodeBadAnswer, verdict.MayHaveRun},
 		{"encoded", func(c net.Conn, r *http.Request) {
 			reply(c, r.Header.Get("Request-Id"), 200, "Server-Seal: s\r\nContent-Encoding: gzip\r\n", "x")
--- a/mesh/quota/lease_test.go
+++ b/mesh/quota/lease_test.go
@@ -108,7 +108,7 @@
 	r := &Rates{
 		Keeper: b, Nodes: func() int { return 100 },
 		Ask: func(context.Context, Home, Want) (Taken, error) { direct++; return Taken{}, errors.New("cut off") },
-		Relay: func(_ context.Context, w Want) (Taken, error) {
+		Relay: func(context.Context, Want) (Taken, error) {
 			relayed++
 			granted, wait := a.Ledger().Take(time.Now(), team, 1)
 			return Taken{Granted: granted, Wait: wait}, nil
