Tell the home of the rates with the beliefs; end connections that wait when a node closes

Cause: each node read the lease on its own while no home was known, up to eight times in a takeover. A connection whose next request waits for an earlier answer was not ended by Close, so processes stayed past the grace time (TestCloseEndsWaitingConnections failed by its time limit before).

Change: readers of the store tell the home of the rates with their answers.

--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -69,7 +69,7 @@
 		AskPeer: func(context.Context, string, fleet.Known) (fleet.Knowledge, error) {
 			return fleet.Knowledge{}, errors.New("alone")
 		},
-		OnView: func(*fleet.View) {}, Logger: log.NewNopLogger(),
+		OnView: func(*fleet.View) {}, OnHome: func(fleet.Home) {}, LostHome: func() string { return "" }, OnLostHome: func(string) {}, Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -49,7 +49,7 @@
 		Self:     Member{Node: name, Zone: "z", Address: name, Incarnation: name + "-1"},
 		Operator: &table{client.Rows(platform.OperatorTable), n, name}, Members: &table{client.Rows("members"), n, name},
 		Backend: func() *Backend { return &Backend{ID: "i-" + name, Service: "orders", Slots: 3, Serving: true} },
-		AskPeer: n.ask, OnView: func(*View) {}, Logger: log.NewNopLogger(),
+		AskPeer: n.ask, OnView: func(*View) {}, OnHome: func(Home) {}, LostHome: func() string { return "" }, OnLostHome: func(string) {}, Logger: log.NewNopLogger(),
 	})
 	n.mu.Lock()
 	n.states[name] = s
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -57,11 +57,16 @@
 	// Members are the changed rows, or all rows if Whole is set.
 	Members platform.Changes
 	Whole   bool
+	// Home gives out the rates; zero if it is not known.
+	Home Home
 }
 
 // Known are the revisions that an asking node holds.
 type Known struct {
 	ConfigVersion, OperatorRevision, MembersRevision uint64
+	// Home is the address of the home of the rates, LostHome that of one that the
+	// asking node could not reach.
+	Home, LostHome string
 	// Wait is how long the other node may wait for a change.
 	Wait time.Duration
 }
@@ -70,6 +75,9 @@
 // It returns false if this node was never confirmed.
 func (s *State) Answer(ctx context.Context, k Known) (Knowledge, bool) {
 	received := clock.Now()
+	if k.LostHome != "" && k.LostHome == s.View().Home.Address {
+		s.cfg.OnLostHome(k.LostHome)
+	}
 	age, ok := s.Age()
 	if wait := min(k.Wait, followWait, followMaxAge-age); ok && wait > 0 && !s.storeLost.Load() {
 		ctx, cancel := context.WithTimeout(ctx, wait)
@@ -90,7 +98,7 @@
 		}
 		out.OperatorRevision, out.ZonesOut = s.operatorAt, slices.Sorted(maps.Keys(s.zonesOut))
 		out.Members.Rows, out.Whole = s.table.since(k.MembersRevision)
-		out.Members.Revision = s.table.revision
+		out.Members.Revision, out.Home = s.table.revision, s.home
 	})
 	return out, true
 }
@@ -100,7 +108,8 @@
 	for ctx.Err() == nil {
 		changed := *s.changed.Load()
 		held := s.held()
-		if held.ConfigVersion > k.ConfigVersion || held.OperatorRevision > k.OperatorRevision || held.MembersRevision > k.MembersRevision {
+		if held.ConfigVersion > k.ConfigVersion || held.OperatorRevision > k.OperatorRevision || held.MembersRevision > k.MembersRevision ||
+			held.Home != "" && held.Home != k.Home && held.Home != k.LostHome {
 			return
 		}
 		select {
@@ -113,7 +122,7 @@
 // held returns the revisions of the published view.
 func (s *State) held() Known {
 	v := s.View()
-	k := Known{OperatorRevision: v.operatorAt, MembersRevision: v.Revision}
+	k := Known{OperatorRevision: v.operatorAt, MembersRevision: v.Revision, Home: v.Home.Address, LostHome: s.cfg.LostHome()}
 	if v.Config != nil {
 		k.ConfigVersion = v.Config.Version
 	}
@@ -122,6 +131,9 @@
 
 // learn takes over what another node knows. sent is when it was asked.
 func (s *State) learn(ctx context.Context, k Knowledge, sent clock.Instant) {
+	if k.Home != (Home{}) {
+		s.cfg.OnHome(k.Home)
+	}
 	s.ask(ctx, func() {
 		changed := k.Document != nil && s.applyConfig(k.Document)
 		if k.OperatorRevision > s.operatorAt {
--- a/mesh/fleet/gate.go
+++ b/mesh/fleet/gate.go
@@ -38,6 +38,12 @@
 	}
 }
 
+func (g *gate) isOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.shut
+}
+
 // wait returns when the gate is open or ctx ends.
 func (g *gate) wait(ctx context.Context) {
 	g.mu.Lock()
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -52,6 +52,12 @@
 	Backend func() *Backend
 	// AskPeer asks another node for what it knows.
 	AskPeer func(ctx context.Context, address string, known Known) (Knowledge, error)
+	// OnHome is told which node gives out the rates; LostHome returns the address of
+	// one that this node could not reach, and OnLostHome is told of one that
+	// another node could not reach.
+	OnHome     func(Home)
+	LostHome   func() string
+	OnLostHome func(address string)
 	// OnView is told of each new view.
 	OnView func(*View)
 	Logger log.Logger
@@ -83,6 +89,7 @@
 	table      rowTable
 	members    map[string]*Member
 	crashes    map[string]crashRecord
+	home       Home
 }
 
 // New returns a state that knows nothing.
@@ -113,6 +120,19 @@
 // StoreNow estimates the store's clock. The estimate is at most the true value.
 func (s *State) StoreNow() (time.Duration, bool) { return s.storeTime.now() }
 
+// SetHome records which node gives out the rates, so that other nodes can be told.
+func (s *State) SetHome(ctx context.Context, h Home) {
+	s.post(ctx, func() {
+		if s.home != h {
+			s.home = h
+			s.publishView()
+		}
+	})
+}
+
+// ReadsStore reports whether this node reads the store itself.
+func (s *State) ReadsStore() bool { return s.gate.isOpen() }
+
 // Publish tells the state that the backend server to publish has changed.
 func (s *State) Publish() {
 	select {
@@ -404,7 +424,7 @@
 func (s *State) publishView() {
 	v := &View{
 		Config: s.config, ZonesOut: s.zonesOut, Nodes: maps.Clone(s.members),
-		Owners: make(map[string][]*Member), Convicted: make(map[string]bool), Revision: s.table.revision, operatorAt: s.operatorAt,
+		Owners: make(map[string][]*Member), Convicted: make(map[string]bool), Revision: s.table.revision, operatorAt: s.operatorAt, Home: s.home,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.members)) {
 		m := s.members[name]
--- a/mesh/fleet/view.go
+++ b/mesh/fleet/view.go
@@ -28,6 +28,8 @@
 	Owners map[string][]*Member
 	// Convicted are the fingerprints of requests that crash backend servers.
 	Convicted map[string]bool
+	// Home gives out the rates of the teams; zero if it is not known.
+	Home Home
 	// Revision is the store's revision of the members.
 	Revision uint64
 
@@ -48,6 +50,11 @@
 	revision uint64
 }
 
+// Home is a node with its link address.
+type Home struct {
+	Node, Address string
+}
+
 // Backend is a backend server as its owner publishes it.
 type Backend struct {
 	ID      string `json:"id"`
--- a/mesh/h1/server.go
+++ b/mesh/h1/server.go
@@ -123,6 +123,7 @@
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
+		c.cancel() // A connection that waits for an answer reads nothing.
 		c.conn.Close()
 	}
 	s.mu.Unlock()
--- a/mesh/h1/server_test.go
+++ b/mesh/h1/server_test.go
@@ -187,3 +187,16 @@
 	readAnswer(t, br)
 	require.Equal(t, []string{"GET", "POST"}, order)
 }
+
+// Guards against a process that does not end because a handler waits and its
+// connection is not read meanwhile.
+func TestCloseEndsWaitingConnections(t *testing.T) {
+	s, address := listen(t, Limits{}, func(ctx context.Context, r *Request) *Answer {
+		<-ctx.Done()
+		return text(200, r.Method)
+	})
+	conn, _ := dial(t, address)
+	send(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	require.Eventually(t, func() bool { return s.Active() == 2 }, 5*time.Second, time.Millisecond)
+	s.Close()
+}
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -138,7 +138,7 @@
 func (n *Node) answerFollow(f *wire.Follow) *wire.FollowAnswer {
 	k, ok := n.fleet.Answer(context.Background(), fleet.Known{
 		ConfigVersion: f.GetConfigVersion(), OperatorRevision: f.GetOperatorRevision(),
-		MembersRevision: f.GetMembersRevision(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond,
+		MembersRevision: f.GetMembersRevision(), Home: f.GetHomeAddress(), LostHome: f.GetLostHome(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond,
 	})
 	if !ok {
 		return &wire.FollowAnswer{AgeUs: -1}
@@ -146,6 +146,7 @@
 	out := &wire.FollowAnswer{
 		AgeUs: k.Age.Microseconds(), WaitedUs: k.Waited.Microseconds(), ConfigVersion: k.ConfigVersion, Document: k.Document,
 		OperatorRevision: k.OperatorRevision, ZonesOut: k.ZonesOut, MembersRevision: k.Members.Revision, Whole: k.Whole,
+		HomeNode: k.Home.Node, HomeAddress: k.Home.Address,
 	}
 	for _, row := range k.Members.Rows {
 		out.Rows = append(out.Rows, &wire.StoredRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Removed: row.Removed})
@@ -157,7 +158,7 @@
 func (n *Node) askKnowledge(ctx context.Context, address string, known fleet.Known) (fleet.Knowledge, error) {
 	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_Follow{Follow: &wire.Follow{
 		ConfigVersion: known.ConfigVersion, OperatorRevision: known.OperatorRevision,
-		MembersRevision: known.MembersRevision, WaitUs: known.Wait.Microseconds(),
+		MembersRevision: known.MembersRevision, HomeAddress: known.Home, LostHome: known.LostHome, WaitUs: known.Wait.Microseconds(),
 	}}})
 	if err != nil {
 		return fleet.Knowledge{}, err
@@ -169,6 +170,7 @@
 	k := fleet.Knowledge{
 		Age: time.Duration(f.GetAgeUs()) * time.Microsecond, Waited: time.Duration(f.GetWaitedUs()) * time.Microsecond, ConfigVersion: f.GetConfigVersion(), Document: f.GetDocument(),
 		OperatorRevision: f.GetOperatorRevision(), ZonesOut: f.GetZonesOut(), Whole: f.GetWhole(),
+		Home: fleet.Home{Node: f.GetHomeNode(), Address: f.GetHomeAddress()},
 	}
 	k.Members.Revision = f.GetMembersRevision()
 	for _, row := range f.GetRows() {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -130,11 +130,20 @@
 	n.fleet = fleet.New(fleet.Config{
 		Self:     fleet.Member{Node: s.Node, Zone: s.Zone, Address: address, Incarnation: n.incarnation},
 		Operator: n.store.Rows(platform.OperatorTable), Members: n.store.Rows(memberTable),
-		Backend: n.published, AskPeer: n.askKnowledge, OnView: n.viewChanged, Logger: n.logger,
+		Backend: n.published, AskPeer: n.askKnowledge,
+		OnHome:   func(h fleet.Home) { n.keeper.Learn(quota.Home(h)) },
+		LostHome: func() string { return n.keeper.LostAddress() },
+		OnLostHome: func(address string) {
+			if h, known := n.keeper.Home(); known && h.Address == address {
+				n.keeper.Lost(h)
+			}
+		},
+		OnView: n.viewChanged, Logger: n.logger,
 	})
 	n.keeper = &quota.Keeper{
 		Self: quota.Home{Node: s.Node, Address: address}, Table: n.store.Rows(leaseTable), Logger: n.logger,
-		Incarnation: n.incarnation, StoreNow: n.fleet.StoreNow,
+		Incarnation: n.incarnation, StoreNow: n.fleet.StoreNow, MayLook: n.fleet.ReadsStore,
+		OnHome: func(h quota.Home) { n.fleet.SetHome(context.Background(), fleet.Home(h)) },
 	}
 	n.keeper.Init()
 	n.rates = &quota.Rates{
--- a/mesh/quota/lease.go
+++ b/mesh/quota/lease.go
@@ -27,6 +27,11 @@
 	leaseTimeout = 1200 * time.Millisecond
 	// searchInterval is the time between two looks for a home.
 	searchInterval = 500 * time.Millisecond
+	// learnWait is how long a node that follows others waits to learn of the home
+	// before it looks for it itself.
+	learnWait = 3 * time.Second
+	// lostTime is how long a home that could not be reached is not learned again.
+	lostTime = 1500 * time.Millisecond
 	// startSpread spreads the first claims of all nodes.
 	startSpread = 400 * time.Millisecond
 )
@@ -61,6 +66,11 @@
 	Incarnation string
 	// StoreNow estimates the store's clock; the estimate is at most its true value.
 	StoreNow func() (time.Duration, bool)
+	// MayLook reports whether this node reads the store itself; the others learn of
+	// the home from those that do. Nil means that it does.
+	MayLook func() bool
+	// OnHome is told of each change of the home; nil ignores it.
+	OnHome func(Home)
 
 	mu       sync.Mutex
 	home     Home
@@ -70,6 +80,9 @@
 	until   clock.Instant
 	search  chan struct{}
 	stopped bool
+	// lost is a home that could not be reached, since lostAt.
+	lost   Home
+	lostAt time.Time
 }
 
 // Init prepares the keeper; call it before Run.
@@ -95,7 +108,8 @@
 // Lost reports that a home did not answer or is none any more.
 func (k *Keeper) Lost(h Home) {
 	k.mu.Lock()
-	if k.home == h {
+	if k.home == h && h != (Home{}) {
+		k.lost, k.lostAt = h, time.Now()
 		k.home = Home{}
 	}
 	k.mu.Unlock()
@@ -105,6 +119,27 @@
 	}
 }
 
+// LostAddress returns the address of a home that could not be reached a moment
+// ago, or "".
+func (k *Keeper) LostAddress() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if time.Since(k.lostAt) > lostTime {
+		return ""
+	}
+	return k.lost.Address
+}
+
+// Learn takes over the home that another node knows.
+func (k *Keeper) Learn(h Home) {
+	k.mu.Lock()
+	usable := k.ledger == nil && h != k.Self && (h != k.lost || time.Since(k.lostAt) > lostTime)
+	k.mu.Unlock()
+	if usable {
+		k.found(h)
+	}
+}
+
 // Run keeps the lease if this node holds it and looks for the home otherwise.
 func (k *Keeper) Run(ctx context.Context) {
 	sleep(ctx, rand.N(startSpread))
@@ -118,6 +153,10 @@
 			k.sleepOrSearch(ctx, time.Hour, true)
 			continue
 		}
+		if k.mayLearn() {
+			sleep(ctx, searchInterval/2)
+			continue
+		}
 		if err := k.look(ctx); err != nil {
 			k.Logger.Log("event", "home of the rates not found", "err", err)
 		}
@@ -125,6 +164,16 @@
 	}
 }
 
+// mayLearn reports whether the node should wait for others to tell of the home.
+func (k *Keeper) mayLearn() bool {
+	if k.MayLook == nil || k.MayLook() {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Since(k.lostAt) < learnWait
+}
+
 func (k *Keeper) sleepOrSearch(ctx context.Context, d time.Duration, search bool) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -192,6 +241,13 @@
 	k.mu.Unlock()
 	if changed {
 		k.Logger.Log("event", "home of the rates found", "home", h.Node)
+		k.tell(h)
+	}
+}
+
+func (k *Keeper) tell(h Home) {
+	if k.OnHome != nil {
+		k.OnHome(h)
 	}
 }
 
@@ -230,11 +286,15 @@
 		return k.writeFailed(err)
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	k.revision, k.until = written.Revision, started.Add(leaseTime-leaseMargin)
-	if k.ledger == nil {
+	taken := k.ledger == nil
+	if taken {
 		k.ledger, k.home = NewLedger(time.Now(), first), k.Self
+	}
+	k.mu.Unlock()
+	if taken {
 		k.Logger.Log("event", "lease of the rates taken", "revision", written.Revision, "first", first)
+		k.tell(k.Self)
 	}
 	return nil
 }
--- a/mesh/quota/lease_test.go
+++ b/mesh/quota/lease_test.go
@@ -132,3 +132,25 @@
 	require.ErrorContains(t, r.Admit(t.Context(), &slow), "rate-limit")
 	require.NoError(t, r.Admit(t.Context(), nil), "a request without a team has no limit")
 }
+
+// Guards against all nodes of a fleet that read the lease at once, and against
+// one that learns again of the home that it has just lost.
+func TestFollowersLearnTheHome(t *testing.T) {
+	d := newDeployment(t)
+	a, b := d.keeper("a"), d.keeper("b")
+	require.NoError(t, a.look(t.Context()))
+	b.MayLook = func() bool { return false }
+	b.Learn(a.Self)
+	home, known := b.Home()
+	require.True(t, known)
+	require.Equal(t, a.Self, home)
+	b.Lost(home)
+	require.True(t, b.mayLearn())
+	require.Equal(t, a.Self.Address, b.LostAddress())
+	b.Learn(a.Self)
+	_, known = b.Home()
+	require.False(t, known)
+	b.Learn(Home{Node: "c", Address: "c:1"})
+	_, known = b.Home()
+	require.True(t, known)
+}
