--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -65,7 +65,9 @@
 	}))
 	state := fleet.New(fleet.Config{
 		Self: fleet.Member{Node: "n", Zone: "z", Address: "n:1"}, Operator: client.Rows(platform.OperatorTable), Members: client.Rows("members"),
-		Backend: func() *fleet.Backend { return &fleet.Backend{ID: "i-1", Service: "orders", Slots: 1, Serving: true} },
+		Backend: func() (*fleet.Backend, bool) {
+			return &fleet.Backend{ID: "i-1", Service: "orders", Slots: 1, Serving: true}, true
+		},
 		AskPeer: func(context.Context, string, fleet.Known) (fleet.Knowledge, error) {
 			return fleet.Knowledge{}, errors.New("alone")
 		},
--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -48,7 +48,9 @@
 	s := New(Config{
 		Self:     Member{Node: name, Zone: "z", Address: name, Incarnation: name + "-1"},
 		Operator: &table{client.Rows(platform.OperatorTable), n, name}, Members: &table{client.Rows("members"), n, name},
-		Backend: func() *Backend { return &Backend{ID: "i-" + name, Service: "orders", Slots: 3, Serving: true} },
+		Backend: func() (*Backend, bool) {
+			return &Backend{ID: "i-" + name, Service: "orders", Slots: 3, Serving: true}, true
+		},
 		AskPeer: n.ask, OnView: func(*View) {}, OnHome: func(Home) {}, LostHome: func() string { return "" }, OnLostHome: func(string) {}, Logger: log.NewNopLogger(),
 	})
 	n.mu.Lock()
@@ -266,3 +268,39 @@
 	_, ok := a.Answer(context.Background(), Known{})
 	require.True(t, ok)
 }
+
+// Guards against a restarted process that removes its row before the first
+// heartbeat of its backend server, and writes it again a moment later.
+func TestRowOfEarlierProcessStays(t *testing.T) {
+	n := newNodes(t)
+	n.store.Put("members", "member/a", []byte(`{"node":"a","zone":"z","address":"a","incarnation":"a-0"}`))
+	client, err := platform.NewClient(platform.ClientConfig{URL: n.url, Timeout: time.Second})
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	known := false
+	s := New(Config{
+		Self: Member{Node: "a", Zone: "z", Address: "a", Incarnation: "a-1"}, Operator: client.Rows("op"), Members: client.Rows("members"),
+		Backend: func() (*Backend, bool) { return nil, known }, Logger: log.NewNopLogger(),
+	})
+	s.members["a"], s.table.known = &Member{Node: "a", Zone: "z", Incarnation: "a-0", Backend: &Backend{ID: "i"}, revision: 1}, true
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case f := <-s.events:
+				f()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	require.NoError(t, s.publishOnce(ctx))
+	_, present := n.store.Value("members", "member/a")
+	require.True(t, present)
+	known = true
+	s.cfg.OnView = func(*View) {}
+	require.NoError(t, s.publishOnce(ctx))
+	_, present = n.store.Value("members", "member/a")
+	require.False(t, present, "no backend server lives on the machine")
+}
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -48,8 +48,9 @@
 		return nil // The first view of the members publishes again.
 	}
 	wanted := s.cfg.Self
-	wanted.Backend = s.cfg.Backend()
-	if same(current, &wanted) {
+	backend, known := s.cfg.Backend()
+	wanted.Backend = backend
+	if !known || same(current, &wanted) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -48,8 +48,9 @@
 	Self Member
 	// Operator is the operator's table; Members is that of the nodes.
 	Operator, Members Table
-	// Backend returns the backend server to publish, or nil.
-	Backend func() *Backend
+	// Backend returns the backend server to publish, or nil if there is none. It
+	// returns false while that is not known, and the own row then stays as it is.
+	Backend func() (*Backend, bool)
 	// AskPeer asks another node for what it knows.
 	AskPeer func(ctx context.Context, address string, known Known) (Knowledge, error)
 	// OnHome is told which node gives out the rates; LostHome returns the address of
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -39,6 +39,9 @@
 	storeConnections = 6
 	// readyAge is the age of the last confirmation from which a node is not ready.
 	readyAge = 4200 * time.Millisecond
+	// firstHeartbeat is the time after the start in which the backend server has
+	// announced itself, if it lives: two intervals and a margin.
+	firstHeartbeat = 4 * time.Second
 	// tickInterval is the time between two looks for requests that waited too long.
 	tickInterval = 100 * time.Millisecond
 	// leaveNotice is the time after SIGTERM in which callers learn that the node is
@@ -189,15 +192,16 @@
 	return entry.RefusalAnswer(&verdict.Error{Verdict: verdict.NotRun, Status: status, Code: "bad-request", Detail: reason})
 }
 
-// published returns the backend server for the own row in the store.
-func (n *Node) published() *fleet.Backend {
+// published returns the backend server for the own row in the store. For a
+// while after the start it is not known, and the row of the earlier process stays.
+func (n *Node) published() (*fleet.Backend, bool) {
 	s, known := n.owner.Status()
 	if !known {
-		return nil
+		return nil, time.Since(n.started) > firstHeartbeat
 	}
 	return &fleet.Backend{
 		ID: s.ID, Service: s.Service, Slots: s.Slots, Serving: s.Serving, Leaving: s.Leaving, BornMillis: s.Born.UnixMilli(),
-	}
+	}, true
 }
 
 // viewChanged passes beliefs on to the owner.
@@ -239,6 +243,8 @@
 	n.wg.Go(func() { n.fleet.Run(background) })
 	n.wg.Go(func() { n.keeper.Run(background) })
 	n.wg.Go(func() { n.tick(background) })
+	withdraw := time.AfterFunc(firstHeartbeat+tickInterval, n.fleet.Publish)
+	defer withdraw.Stop()
 	n.logger.Log("event", "node started", "node", n.settings.Node, "zone", n.settings.Zone, "service", n.settings.BackendService,
 		"incarnation", n.incarnation, "link", n.linkAddress(), "store", n.settings.StoreAddress)
 	<-ctx.Done()
