--- a/mesh/entry/metrics.go
+++ b/mesh/entry/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+
+	"trefoildock.example/mesh/owner"
 )
 
 // Metrics are the counters of an entry.
@@ -23,13 +25,6 @@
 	Latency metrics.Histogram
 }
 
-// sampleSize and sampleAlpha are the values of an exponentially decaying sample
-// that favours the last five minutes.
-const (
-	sampleSize  = 256
-	sampleAlpha = 0.015
-)
-
 // NewMetrics registers the counters.
 func NewMetrics(r metrics.Registry) *Metrics {
 	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("entry."+name, r) }
@@ -37,7 +32,7 @@
 		Requests: counter("requests"), Succeeded: counter("succeeded"), Refused: counter("refused"), Failed: counter("failed"),
 		Retries: counter("retries"), Hedges: counter("hedges"), Unreachable: counter("owners_unreachable"),
 		Unconfirmed: counter("unconfirmed"), Convicted: counter("convicted"),
-		Latency: metrics.NewRegisteredHistogram("entry.latency_us", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		Latency: owner.NewLatency("entry.latency_us", r),
 	}
 }
 
--- /dev/null
+++ b/mesh/entry/reserve.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"trefoildock.example/mesh/clock"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoildock.example/admission"
+	"trefoildock.example/mesh/fleet"
+	"trefoildock.example/mesh/owner"
+	"trefoildock.example/verdict"
+	"trefoildock.example/wire"
+)
+
+const (
+	// maxProbedOwners bounds the owners that are asked for a free slot before the
+	// request waits at one of them, maxFarOwners those in other zones.
+	maxProbedOwners = 6
+	maxFarOwners    = 3
+	// ownerPoll is the time between two looks for an owner while none is known.
+	ownerPoll = 50 * time.Millisecond
+	// maxOwnerPoll bounds the wait that an owner suggests.
+	maxOwnerPoll = 150 * time.Millisecond
+)
+
+// reserve asks the owners of the service one after the other for a free slot.
+// If all are busy the request waits at the one that suits best.
+func (e *Entry) reserve(ctx context.Context, q *request) (*reservation, *wire.Offer, error) {
+	for view := q.view; ; view = e.cfg.Fleet.View() {
+		owners := e.candidates(q, view)
+		r, o, best, err := e.probe(ctx, q, owners)
+		if r != nil {
+			return r, o, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil, notStarted(err)
+		}
+		if best != nil {
+			r, o, err = e.takeFallback(ctx, q, best)
+			if err == nil {
+				return r, o, nil
+			}
+			if !q.isCall() {
+				return nil, nil, err // No owner expects to be free in time.
+			}
+		}
+		failure := err
+		if failure == nil {
+			failure = verdict.Refuse("no-owner", "no backend server of the service is known", retryAfter)
+		}
+		if !time.Now().Before(e.startBy(q)) {
+			return nil, nil, failure
+		}
+		clock.Sleep(ctx, min(max(verdict.From(failure).RetryAfter, ownerPoll), maxOwnerPoll))
+		if ctx.Err() != nil {
+			return nil, nil, notStarted(failure)
+		}
+	}
+}
+
+// startBy returns the time by which the request must start: later, it would not
+// be answered in time. A request of a caller is not held beyond its goal, because
+// a caller that is told at once can do something else; a call of a backend server
+// is, because its failure would waste the work that waits for it.
+func (e *Entry) startBy(q *request) time.Time {
+	e.mu.Lock()
+	by := q.deadline.Add(-e.usual[q.route.Name])
+	e.mu.Unlock()
+	if goal := q.route.Goal; goal > 0 && !q.isCall() && q.Received.Add(goal).Before(by) {
+		by = q.Received.Add(goal)
+	}
+	return by
+}
+
+// notStarted is the error of a request whose time is up before anything ran.
+func notStarted(err error) error {
+	e := verdict.Refuse("not-started", "no backend server was free in time", retryAfter)
+	e.Cause = err
+	return e
+}
+
+// candidates returns the owners that were not tried, the best first. Once the
+// route allows no further backend server, or there is none, it returns those that
+// were tried: they may be asked again if they did not run the request.
+func (e *Entry) candidates(q *request, view *fleet.View) []*fleet.Member {
+	e.mu.Lock()
+	var out, tried []*fleet.Member
+	for _, m := range view.Owners[q.service] {
+		if q.tried[m.Node] {
+			tried = append(tried, m)
+		} else {
+			out = append(out, m)
+		}
+	}
+	if len(q.tried) >= q.route.MaxAttempts || len(out) == 0 {
+		out = tried
+	}
+	e.mu.Unlock()
+	return e.peers.rank(out, e.cfg.Zone, q.route.Idempotent, time.Now())
+}
+
+func (e *Entry) markTried(q *request, m *fleet.Member) {
+	e.mu.Lock()
+	q.tried[m.Node] = true
+	e.mu.Unlock()
+}
+
+// offerMode says how an owner treats an offer.
+type offerMode uint8
+
+const (
+	noWait offerMode = iota
+	queue
+	lastResort
+)
+
+// fallback holds owners that may take the request although they refused at first.
+type fallback struct {
+	// busy has no free slot; suspected has a backend server that failed lately.
+	busy, suspected *fleet.Member
+}
+
+// probe offers the request to one owner after the other. Without a free slot it
+// returns the owner to wait at.
+func (e *Entry) probe(ctx context.Context, q *request, owners []*fleet.Member) (*reservation, *wire.Offer, *fallback, error) {
+	var busy, suspected *fleet.Member
+	var failure error
+	near, far := 0, 0
+	for _, m := range owners {
+		if ctx.Err() != nil {
+			break
+		}
+		count, limit := &near, maxProbedOwners
+		if m.Zone != e.cfg.Zone {
+			count, limit = &far, maxFarOwners
+		}
+		if *count++; *count > limit {
+			continue
+		}
+		o := e.offerFor(q, noWait)
+		r, err := e.offer(ctx, m, o, time.Now().Add(offerTimeout))
+		if err == nil {
+			e.markTried(q, m)
+			return r, o, nil, nil
+		}
+		failure = err
+		switch verdict.From(err).Code {
+		case admission.CodeBusy:
+			if busy == nil || e.peers.occupancy(m) < e.peers.occupancy(busy) {
+				busy = m
+			}
+		case owner.CodeSuspected:
+			e.peers.suspected(m.Node, time.Now())
+			if suspected == nil {
+				suspected = m
+			}
+		}
+	}
+	if busy == nil && suspected == nil {
+		return nil, nil, nil, failure
+	}
+	return nil, nil, &fallback{busy: busy, suspected: suspected}, failure
+}
+
+// takeFallback lets the request wait at a busy owner, or run on a backend server
+// that is suspected of failing if no other will be free in time.
+func (e *Entry) takeFallback(ctx context.Context, q *request, f *fallback) (*reservation, *wire.Offer, error) {
+	var failure error
+	if f.busy != nil {
+		o := e.offerFor(q, queue)
+		r, err := e.offer(ctx, f.busy, o, e.startBy(q))
+		if err == nil {
+			e.markTried(q, f.busy)
+			return r, o, nil
+		}
+		failure = err
+	}
+	if f.suspected != nil && ctx.Err() == nil {
+		o := e.offerFor(q, lastResort)
+		r, err := e.offer(ctx, f.suspected, o, time.Now().Add(offerTimeout))
+		if err == nil {
+			e.markTried(q, f.suspected)
+			return r, o, nil
+		}
+		failure = err
+	}
+	return nil, nil, failure
+}
+
+// offerFor returns the offer of one attempt. It names only what admission needs;
+// the details follow with the commit.
+func (e *Entry) offerFor(q *request, mode offerMode) *wire.Offer {
+	o := &wire.Offer{
+		RequestId: q.id, Service: q.service, Team: q.offer.Team, TeamWeight: q.offer.TeamWeight,
+		Idempotent: q.offer.Idempotent, Urgent: q.offer.Urgent, NoWait: mode != queue, LastResort: mode == lastResort,
+		TimeoutUs: max(time.Until(q.deadline).Microseconds(), 1),
+	}
+	if mode == queue {
+		o.StartWithinUs = max(time.Until(e.startBy(q)).Microseconds(), 1)
+	}
+	return o
+}
+
+// detailsOf completes an accepted offer.
+func (q *request) detailsOf(o *wire.Offer) *wire.Offer {
+	out := proto.CloneOf(q.offer)
+	out.LastResort, out.TimeoutUs = o.GetLastResort(), o.GetTimeoutUs()
+	return out
+}
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -212,7 +212,7 @@
 		m := s.chooseLeader(avoid)
 		if m == nil {
 			s.gate.open()
-			pause(ctx, followWait)
+			clock.Sleep(ctx, followWait)
 			continue
 		}
 		if err := s.followOnce(ctx, m); err != nil {
@@ -259,11 +259,11 @@
 	for ctx.Err() == nil {
 		age, known := s.Age()
 		if known && age < askAfter {
-			pause(ctx, askAfter-age)
+			clock.Sleep(ctx, askAfter-age)
 			continue
 		}
 		s.askRound(ctx)
-		pause(ctx, askInterval)
+		clock.Sleep(ctx, askInterval)
 	}
 }
 
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"time"
 
+	"trefoildock.example/mesh/clock"
+
 	"github.com/cockroachdb/errors"
 
 	"trefoildock.example/platform"
@@ -29,7 +31,7 @@
 				break
 			}
 			s.cfg.Logger.Log("event", "own row not published", "err", err)
-			pause(ctx, wait)
+			clock.Sleep(ctx, wait)
 			wait = min(2*wait, maxRetry)
 		}
 	}
@@ -150,7 +152,7 @@
 			return
 		}
 		s.cfg.Logger.Log("event", "crash record not written", "key", key, "err", err)
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 		wait = min(2*wait, time.Second)
 	}
 }
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -237,7 +237,7 @@
 		s.storeTime.observe(changes.StoreTime)
 		s.post(ctx, func() { s.applyMembers(changes, whole) })
 		if len(changes.Rows) > 0 {
-			pause(ctx, memberPause)
+			clock.Sleep(ctx, memberPause)
 		}
 		return nil
 	})
@@ -282,20 +282,11 @@
 			lostAt = time.Now()
 			s.cfg.Logger.Log("event", "store lost", "table", name, "err", err)
 		}
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 		wait = min(2*wait, maxRetry)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // applyOperator takes over rows of the operator's table.
 func (s *State) applyOperator(c platform.Changes, whole bool) {
 	changed := s.operatorAt == 0
--- a/mesh/owner/metrics.go
+++ b/mesh/owner/metrics.go
@@ -22,11 +22,15 @@
 // NewMetrics registers the counters.
 func NewMetrics(r metrics.Registry) *Metrics {
 	return &Metrics{
-		Dispatched: metrics.NewRegisteredCounter("owner.dispatched", r),
-		Dials:      metrics.NewRegisteredCounter("owner.backend_connections", r),
-		Suspicions: metrics.NewRegisteredCounter("owner.suspicion_changes", r),
-		Crashes:    metrics.NewRegisteredCounter("owner.crashes", r),
-		BackendLatency: metrics.NewRegisteredHistogram("owner.backend_latency_us", r,
-			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		Dispatched:     metrics.NewRegisteredCounter("owner.dispatched", r),
+		Dials:          metrics.NewRegisteredCounter("owner.backend_connections", r),
+		Suspicions:     metrics.NewRegisteredCounter("owner.suspicion_changes", r),
+		Crashes:        metrics.NewRegisteredCounter("owner.crashes", r),
+		BackendLatency: NewLatency("owner.backend_latency_us", r),
 	}
 }
+
+// NewLatency registers a histogram of a latency in microseconds.
+func NewLatency(name string, r metrics.Registry) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
--- a/mesh/quota/lease.go
+++ b/mesh/quota/lease.go
@@ -142,7 +142,7 @@
 
 // Run keeps the lease if this node holds it and looks for the home otherwise.
 func (k *Keeper) Run(ctx context.Context) {
-	sleep(ctx, rand.N(startSpread))
+	clock.Sleep(ctx, rand.N(startSpread))
 	for ctx.Err() == nil {
 		if k.holding() {
 			k.renew(ctx)
@@ -154,13 +154,13 @@
 			continue
 		}
 		if k.mayLearn() {
-			sleep(ctx, searchInterval/2)
+			clock.Sleep(ctx, searchInterval/2)
 			continue
 		}
 		if err := k.look(ctx); err != nil {
 			k.Logger.Log("event", "home of the rates not found", "err", err)
 		}
-		sleep(ctx, searchInterval+rand.N(searchInterval/2))
+		clock.Sleep(ctx, searchInterval+rand.N(searchInterval/2))
 	}
 }
 
@@ -188,15 +188,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (k *Keeper) holding() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/mesh/quota/rates.go
+++ b/mesh/quota/rates.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"trefoildock.example/mesh/clock"
+
 	"trefoildock.example/routing"
 	"trefoildock.example/verdict"
 )
@@ -76,13 +78,13 @@
 		case ok && now.Add(taken.Wait).Sub(started) > maxWait:
 			return overRate(taken.Wait)
 		case ok:
-			sleep(ctx, max(taken.Wait, time.Millisecond))
+			clock.Sleep(ctx, max(taken.Wait, time.Millisecond))
 		case r.takeAllowance(now, team):
 			return nil
 		case now.Sub(started) > findWait:
 			return verdict.Refuse("rate-unknown", "no node keeps the rate of the team at the moment", minRetryAfter)
 		default:
-			sleep(ctx, findPoll)
+			clock.Sleep(ctx, findPoll)
 		}
 		if ctx.Err() != nil {
 			return verdict.Refuse("canceled", "the request ended before its rate was known", minRetryAfter)
