Bound the wait of a call by three goals

Cause: a call was held until its deadline less its usual time, 9 s in TestNoOwner once its caller waited that long; the test had passed because its deadline was shorter than its bound.

--- a/mesh/entry/reserve.go
+++ b/mesh/entry/reserve.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// callPatience is the number of goals for which a call of a backend server may
+	// wait; the requests that make calls last about three times as long.
+	callPatience = 3
 	// maxProbedOwners bounds the owners that are asked for a free slot before the
 	// request waits at one of them, maxFarOwners those in other zones.
 	maxProbedOwners = 6
@@ -64,13 +67,17 @@
 // startBy returns the time by which the request must start: later, it would not
 // be answered in time. A request of a caller is not held beyond its goal, because
 // a caller that is told at once can do something else; a call of a backend server
-// is, because its failure would waste the work that waits for it.
+// is held longer, because its failure would waste the work that waits for it.
 func (e *Entry) startBy(q *request) time.Time {
 	e.mu.Lock()
 	by := q.deadline.Add(-e.usual[q.route.Name])
 	e.mu.Unlock()
-	if goal := q.route.Goal; goal > 0 && !q.isCall() && q.Received.Add(goal).Before(by) {
-		by = q.Received.Add(goal)
+	patience := q.route.Goal
+	if q.isCall() {
+		patience *= callPatience
+	}
+	if patience > 0 && q.Received.Add(patience).Before(by) {
+		by = q.Received.Add(patience)
 	}
 	return by
 }
