Use suspected owners that were not asked when no other can serve

Owners known as suspected rank last, beyond the number of owners that are asked, so they were never a last resort in a large fleet. Ruled out: missing trials (idempotent requests to orders are rare there). Change: a suspected owner is a fallback although it was not asked, any of them at random. TestSuspectedOwnerServesWhenNoOtherCan failed before.

--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"trefoildock.example/link"
 	"trefoildock.example/mesh/fleet"
 	"trefoildock.example/mesh/h1"
 	"trefoildock.example/mesh/owner"
@@ -29,6 +31,8 @@
 type machine struct {
 	entry  *Entry
 	owner  *owner.Owner
+	store  *rowstore.Store
+	state  *fleet.State
 	runs   atomic.Int32
 	answer atomic.Pointer[func(w http.ResponseWriter, r *http.Request)]
 	// deadline is the time in milliseconds that the caller waits.
@@ -83,8 +87,10 @@
 	require.Eventually(t, func() bool { return len(state.View().Owners["orders"]) == 1 && state.View().Config != nil }, 10*time.Second, time.Millisecond)
 	keeper := &quota.Keeper{Self: quota.Home{Node: "n", Address: "n:1"}, Logger: log.NewNopLogger()}
 	keeper.Init()
+	m.store, m.state = store, state
 	m.entry = New(Config{
-		Node: "n", Zone: "z", Service: "shopfront", Bounds: bounds, Fleet: state, Owner: m.owner, Logger: log.NewNopLogger(),
+		Links: &link.Pool{Plain: true, Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("no route") }},
+		Node:  "n", Zone: "z", Service: "shopfront", Bounds: bounds, Fleet: state, Owner: m.owner, Logger: log.NewNopLogger(),
 		Metrics: NewMetrics(registry), Rates: &quota.Rates{
 			Keeper: keeper, Nodes: func() int { return 1 },
 			RetryLimit: func(service string) *routing.Team { return quota.RetryLimit(service, 60, 10*time.Second) },
@@ -156,6 +162,28 @@
 	require.Less(t, time.Since(started), 5*time.Second)
 }
 
+// Guards against sound servers that get nothing while requests are refused: in a
+// large fleet the owners that are known as suspected come after those that are asked.
+func TestSuspectedOwnerServesWhenNoOtherCan(t *testing.T) {
+	m := newMachine(t)
+	for i := range 2 * maxProbedOwners {
+		name := fmt.Sprint("x", i)
+		m.store.Put("members", "member/"+name, fmt.Appendf(nil,
+			`{"node":%q,"zone":"z","address":"%s:1","backend":{"id":"i-%s","service":"orders","slots":3,"serving":true}}`, name, name, name))
+	}
+	require.Eventually(t, func() bool { return len(m.state.View().Owners["orders"]) == 1+2*maxProbedOwners }, 10*time.Second, time.Millisecond)
+	m.set(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	for m.runs.Load() < 2 { // Two failures make the owner suspect its backend server.
+		m.entry.peers.byID = make(map[string]*peer)
+		m.send(t, "GET", "/a", fmt.Sprint("fail", m.runs.Load()))
+	}
+	m.set(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "ok") })
+	m.entry.peers.suspected("n", time.Now().Add(time.Hour))
+	for i := range 3 {
+		require.Equal(t, 200, m.send(t, "POST", "/order/1", fmt.Sprint(i)).Status)
+	}
+}
+
 // Guards against requests that are answered as not run while their backend
 // server still works on them.
 func TestTimeoutIsNoRefusal(t *testing.T) {
--- a/mesh/entry/peers.go
+++ b/mesh/entry/peers.go
@@ -109,6 +109,13 @@
 	p.get(node).avoidOnce = now.Add(suspectedOnceTime)
 }
 
+// isSuspected reports whether the backend server of an owner failed lately.
+func (p *peers) isSuspected(node string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.get(node).avoidOnce)
+}
+
 // occupancy returns the requests that run or wait at an owner per slot, by its
 // last report.
 func (p *peers) occupancy(m *fleet.Member) float64 {
--- a/mesh/entry/reserve.go
+++ b/mesh/entry/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"trefoildock.example/mesh/clock"
@@ -133,7 +134,8 @@
 // probe offers the request to one owner after the other. Without a free slot it
 // returns the owner to wait at.
 func (e *Entry) probe(ctx context.Context, q *request, owners []*fleet.Member) (*reservation, *wire.Offer, *fallback, error) {
-	var busy, suspected *fleet.Member
+	var busy *fleet.Member
+	var suspected []*fleet.Member
 	var failure error
 	near, far := 0, 0
 	for _, m := range owners {
@@ -145,6 +147,9 @@
 			count, limit = &far, maxFarOwners
 		}
 		if *count++; *count > limit {
+			if e.peers.isSuspected(m.Node, time.Now()) {
+				suspected = append(suspected, m)
+			}
 			continue
 		}
 		o := e.offerFor(q, noWait)
@@ -161,15 +166,18 @@
 			}
 		case owner.CodeSuspected:
 			e.peers.suspected(m.Node, time.Now())
-			if suspected == nil {
-				suspected = m
-			}
+			suspected = append(suspected, m)
 		}
 	}
-	if busy == nil && suspected == nil {
+	if busy == nil && len(suspected) == 0 {
 		return nil, nil, nil, failure
 	}
-	return nil, nil, &fallback{busy: busy, suspected: suspected}, failure
+	f := &fallback{busy: busy}
+	if len(suspected) > 0 {
+		// Any of them, so that each sound server among them gets requests.
+		f.suspected = suspected[rand.IntN(len(suspected))]
+	}
+	return nil, nil, f, failure
 }
 
 // takeFallback lets the request wait at a busy owner, or run on a backend server
