Convert header fields of links in one place; remove unused fields

The conversion between headers and wire fields stood in owner and twice in entry. Offers carried a two-phase flag and a body length that no owner on the platform reads, and a connection counted its requests for nobody. Behaviour is unchanged.

--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -188,18 +188,13 @@
 	e.dialect.StripRequest(header)
 	q.offer = &wire.Offer{
 		RequestId: q.id, Service: q.service, Method: q.Method, Target: q.RequestURI, Host: q.Host,
-		Idempotent: q.route.Idempotent, TwoPhase: true, ContentLength: int64(len(q.Payload)),
+		Idempotent: q.route.Idempotent, Fields: wire.FieldsOf(header),
 		Fingerprint: fingerprint[:], Urgent: q.isCall(), CallerService: e.cfg.Service,
 		TeamWeight: weightOf(q.route.PriorityFor(q.team)),
 	}
 	if q.team != nil {
 		q.offer.Team = q.team.Name
 	}
-	for name, values := range header {
-		for _, v := range values {
-			q.offer.Fields = append(q.offer.Fields, &wire.Field{Name: name, Value: v})
-		}
-	}
 }
 
 // priorityWeights are the shares of the queue of an owner by priority, the most
@@ -235,7 +230,7 @@
 // RefusalAnswer renders an error.
 func RefusalAnswer(err *verdict.Error) *h1.Answer {
 	a := &h1.Answer{Status: err.Status, Header: make(http.Header)}
-	if err.Verdict != verdict.NotRun && promisesNotRun(err.Status) {
+	if err.Verdict != verdict.NotRun && owner.PromisesNotRun(err.Status) {
 		a.Status = http.StatusBadGateway
 	}
 	a.Header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -247,9 +242,6 @@
 	return a
 }
 
-// promisesNotRun lists the statuses that tell a caller that its request has not run.
-func promisesNotRun(status int) bool { return owner.PromisesNotRun(status) }
-
 // finish counts and logs the outcome.
 func (e *Entry) finish(ctx context.Context, q *request, a *h1.Answer, err error) {
 	took := time.Since(q.Received)
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -161,10 +161,7 @@
 
 // readBody reads the rest of an answer; it counts only when it is whole.
 func (e *Entry) readBody(ctx context.Context, r *reservation, head *wire.Head) (*h1.Answer, error) {
-	a := &h1.Answer{Status: int(head.GetStatus()), Header: make(http.Header, len(head.GetFields())+1)}
-	for _, f := range head.GetFields() {
-		a.Header[f.GetName()] = append(a.Header[f.GetName()], f.GetValue())
-	}
+	a := &h1.Answer{Status: int(head.GetStatus()), Header: wire.HeaderOf(head.GetFields())}
 	for {
 		m, err := e.receive(ctx, r)
 		if err != nil {
--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -103,7 +103,6 @@
 	br      *bufio.Reader
 	since   time.Time
 	keep    time.Duration
-	served  int
 	counter *countingReader
 }
 
@@ -256,7 +255,6 @@
 	default:
 		keep = false // The rest of the body is still on its way.
 	}
-	conn.served++
 	return reply, keep && conn.br.Buffered() == 0, nil
 }
 
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -268,7 +268,7 @@
 	}
 	call := &h1.Call{
 		Method: r.offer.GetMethod(), Target: r.offer.GetTarget(), Host: r.offer.GetHost(),
-		Header: headerOf(r.offer.GetFields()), Body: body, ID: r.offer.GetRequestId(), Repeatable: r.offer.GetIdempotent(),
+		Header: wire.HeaderOf(r.offer.GetFields()), Body: body, ID: r.offer.GetRequestId(), Repeatable: r.offer.GetIdempotent(),
 	}
 	if !r.offer.GetIdempotent() {
 		call.FreshWithin = unsafeIdle
@@ -416,7 +416,7 @@
 func (o *Owner) answer(r *run, reply *h1.Reply) error {
 	head := &wire.Head{
 		Status: uint32(reply.Status), RequestId: r.offer.GetRequestId(), ContentLength: int64(len(reply.Body)),
-		Fields: fieldsOf(h1.EndToEnd(reply.Header)),
+		Fields: wire.FieldsOf(h1.EndToEnd(reply.Header)),
 	}
 	envelopes := []*wire.Envelope{wire.HeadEnvelope(head)}
 	for rest := reply.Body; len(rest) > 0; {
@@ -446,21 +446,3 @@
 	}
 	return out
 }
-
-func headerOf(fields []*wire.Field) http.Header {
-	h := make(http.Header, len(fields)+4)
-	for _, f := range fields {
-		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
-	}
-	return h
-}
-
-func fieldsOf(h http.Header) []*wire.Field {
-	out := make([]*wire.Field, 0, len(h))
-	for name, values := range h {
-		for _, v := range values {
-			out = append(out, &wire.Field{Name: name, Value: v})
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/wire/fields.go
@@ -0,0 +1,23 @@
+package wire
+
+import "net/http"
+
+// HeaderOf returns header fields as a header.
+func HeaderOf(fields []*Field) http.Header {
+	h := make(http.Header, len(fields)+4)
+	for _, f := range fields {
+		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
+	}
+	return h
+}
+
+// FieldsOf returns a header as fields; a repeated name is a field for each value.
+func FieldsOf(h http.Header) []*Field {
+	out := make([]*Field, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
