Compare latencies of one route only; wait past the goal for a busy owner

Cause: on grown sites most backend servers were suspected for 20 of 30 s although they answered. health grouped latencies by method and host, and the routes of one host differ by a factor of 100 (1 ms and 460 ms), so the usual latency fell and normal answers counted as slow. Requests then ran on suspected servers as a last resort, where calls failed and their orders with them.

Change: the owner groups latencies by the route of its configuration. A repeated request never tests a suspected server. A request that finds only busy owners asks for free slots for up to three goals; only an idempotent one takes a suspected server early.

--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -64,7 +64,8 @@
 	bounds := platform.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, RevokeWithin: 5 * time.Second}
 	m.owner = owner.New(owner.Config{
 		Bounds: bounds, Heartbeat: time.Second, Logger: log.NewNopLogger(), Metrics: owner.NewMetrics(registry),
-		Cold: func(string) (time.Duration, float64) { return 0, 0 }, OnChange: func() {}, OnCrash: func(string, [][]byte) {},
+		Cold:  func(string) (time.Duration, float64) { return 0, 0 },
+		Route: func(_, target string) string { return target }, OnChange: func() {}, OnCrash: func(string, [][]byte) {},
 	})
 	require.NoError(t, m.owner.Announce(platform.Announcement{
 		ID: "i-1", Service: "orders", Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 1, Sequence: 1, Born: time.UnixMilli(1),
--- a/mesh/entry/reserve.go
+++ b/mesh/entry/reserve.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// callPatience is the number of goals for which a call of a backend server may
-	// wait; the requests that make calls last about three times as long.
-	callPatience = 3
+	// patience is the number of goals for which a request may wait for a busy
+	// owner. A late answer still has most of its value for callers that wait, and
+	// requests that make calls last about three times as long as their calls.
+	patience = 3
 	// maxProbedOwners bounds the owners that are asked for a free slot before the
 	// request waits at one of them, maxFarOwners those in other zones.
 	maxProbedOwners = 6
@@ -28,57 +29,81 @@
 	ownerPoll = 50 * time.Millisecond
 	// maxOwnerPoll bounds the wait that an owner suggests.
 	maxOwnerPoll = 150 * time.Millisecond
+	// lastResortShare is the part of the time to start after which an idempotent
+	// request runs on a suspected backend server if no other is free.
+	lastResortShare = 0.5
+	// maxLatePoll bounds the growing time between two looks for a free slot past
+	// the goal of a request. Each look costs up to maxLateOwners offers.
+	maxLatePoll   = 300 * time.Millisecond
+	maxLateOwners = 3
 )
 
+// probeLimits bound the owners that are asked in one round.
+type probeLimits struct{ near, far int }
+
+func limitsOf(late bool) probeLimits {
+	if late {
+		return probeLimits{maxLateOwners, 1}
+	}
+	return probeLimits{maxProbedOwners, maxFarOwners}
+}
+
 // reserve asks the owners of the service one after the other for a free slot.
-// If all are busy the request waits at the one that suits best.
+// If all are busy the request waits at the one that suits best. Past its goal it
+// asks for free slots only, so that it does not delay requests that can still be
+// answered in time.
 func (e *Entry) reserve(ctx context.Context, q *request) (*reservation, *wire.Offer, error) {
+	wait := ownerPoll
 	for view := q.view; ; view = e.cfg.Fleet.View() {
-		owners := e.candidates(q, view)
-		r, o, best, err := e.probe(ctx, q, owners)
+		late := !time.Now().Before(e.startBy(q))
+		r, o, f, err := e.probe(ctx, q, e.candidates(q, view), limitsOf(late))
 		if r != nil {
 			return r, o, nil
 		}
 		if ctx.Err() != nil {
 			return nil, nil, notStarted(err)
 		}
-		if best != nil {
-			r, o, err = e.takeFallback(ctx, q, best)
+		if f != nil {
+			r, o, err = e.takeFallback(ctx, q, f, err)
 			if err == nil {
 				return r, o, nil
 			}
-			if !q.isCall() {
-				return nil, nil, err // No owner expects to be free in time.
-			}
 		}
-		failure := err
-		if failure == nil {
-			failure = verdict.Refuse("no-owner", "no backend server of the service is known", retryAfter)
+		if err == nil {
+			err = verdict.Refuse("no-owner", "no backend server of the service is known", retryAfter)
+		}
+		if !time.Now().Before(e.giveUpBy(q)) {
+			return nil, nil, err
 		}
-		if !time.Now().Before(e.startBy(q)) {
-			return nil, nil, failure
+		if late {
+			wait = min(2*wait, maxLatePoll)
 		}
-		clock.Sleep(ctx, min(max(verdict.From(failure).RetryAfter, ownerPoll), maxOwnerPoll))
+		clock.Sleep(ctx, max(wait, min(verdict.From(err).RetryAfter, maxOwnerPoll)))
 		if ctx.Err() != nil {
-			return nil, nil, notStarted(failure)
+			return nil, nil, notStarted(err)
 		}
 	}
 }
 
-// startBy returns the time by which the request must start: later, it would not
-// be answered in time. A request of a caller is not held beyond its goal, because
-// a caller that is told at once can do something else; a call of a backend server
-// is held longer, because its failure would waste the work that waits for it.
+// startBy returns the time by which the request must start to be answered within
+// its goal. A call of a backend server has more time, because its failure would
+// waste the work that waits for it.
 func (e *Entry) startBy(q *request) time.Time {
+	by := e.giveUpBy(q)
+	if goal := q.Received.Add(q.route.Goal); q.route.Goal > 0 && !q.isCall() && goal.Before(by) {
+		by = goal
+	}
+	return by
+}
+
+// giveUpBy returns the time from which a request no longer waits for an owner,
+// because its answer would come after the deadline or it was held for too long.
+func (e *Entry) giveUpBy(q *request) time.Time {
 	e.mu.Lock()
 	by := q.deadline.Add(-e.usual[q.route.Name])
 	e.mu.Unlock()
-	patience := q.route.Goal
-	if q.isCall() {
-		patience *= callPatience
-	}
-	if patience > 0 && q.Received.Add(patience).Before(by) {
-		by = q.Received.Add(patience)
+	if held := q.Received.Add(patience * q.route.Goal); q.route.Goal > 0 && held.Before(by) {
+		by = held
 	}
 	return by
 }
@@ -133,7 +158,7 @@
 
 // probe offers the request to one owner after the other. Without a free slot it
 // returns the owner to wait at.
-func (e *Entry) probe(ctx context.Context, q *request, owners []*fleet.Member) (*reservation, *wire.Offer, *fallback, error) {
+func (e *Entry) probe(ctx context.Context, q *request, owners []*fleet.Member, limits probeLimits) (*reservation, *wire.Offer, *fallback, error) {
 	var busy *fleet.Member
 	var suspected []*fleet.Member
 	var failure error
@@ -142,9 +167,9 @@
 		if ctx.Err() != nil {
 			break
 		}
-		count, limit := &near, maxProbedOwners
+		count, limit := &near, limits.near
 		if m.Zone != e.cfg.Zone {
-			count, limit = &far, maxFarOwners
+			count, limit = &far, limits.far
 		}
 		if *count++; *count > limit {
 			if e.peers.isSuspected(m.Node, time.Now()) {
@@ -182,9 +207,8 @@
 
 // takeFallback lets the request wait at a busy owner, or run on a backend server
 // that is suspected of failing if no other will be free in time.
-func (e *Entry) takeFallback(ctx context.Context, q *request, f *fallback) (*reservation, *wire.Offer, error) {
-	var failure error
-	if f.busy != nil {
+func (e *Entry) takeFallback(ctx context.Context, q *request, f *fallback, failure error) (*reservation, *wire.Offer, error) {
+	if f.busy != nil && time.Now().Before(e.startBy(q)) {
 		o := e.offerFor(q, queue)
 		r, err := e.offer(ctx, f.busy, o, e.startBy(q))
 		if err == nil {
@@ -193,7 +217,7 @@
 		}
 		failure = err
 	}
-	if f.suspected != nil && ctx.Err() == nil {
+	if f.suspected != nil && ctx.Err() == nil && !time.Now().Before(e.lastResortAt(q, f)) {
 		o := e.offerFor(q, lastResort)
 		r, err := e.offer(ctx, f.suspected, o, time.Now().Add(offerTimeout))
 		if err == nil {
@@ -205,12 +229,23 @@
 	return nil, nil, failure
 }
 
+// lastResortAt returns the time from which a request may run on a backend server
+// that is suspected of failing. An idempotent request can be repeated while there
+// is time; any other waits for a busy but sound server as long as it can.
+func (e *Entry) lastResortAt(q *request, f *fallback) time.Time {
+	if !q.route.Idempotent && f.busy != nil {
+		return e.giveUpBy(q)
+	}
+	return q.Received.Add(time.Duration(lastResortShare * float64(e.startBy(q).Sub(q.Received))))
+}
+
 // offerFor returns the offer of one attempt. It names only what admission needs;
 // the details follow with the commit.
 func (e *Entry) offerFor(q *request, mode offerMode) *wire.Offer {
 	o := &wire.Offer{
 		RequestId: q.id, Service: q.service, Team: q.offer.Team, TeamWeight: q.offer.TeamWeight,
 		Idempotent: q.offer.Idempotent, Urgent: q.offer.Urgent, NoWait: mode != queue, LastResort: mode == lastResort,
+		NoTrial:   q.attempts.Load() > 0 || q.route.MaxAttempts < 2,
 		TimeoutUs: max(time.Until(q.deadline).Microseconds(), 1),
 	}
 	if mode == queue {
--- a/mesh/owner/health.go
+++ b/mesh/owner/health.go
@@ -62,6 +62,8 @@
 // request is what health needs to know of a request.
 type healthRequest struct {
 	idempotent, lastResort bool
+	// noTrial requests must not test a suspected backend server.
+	noTrial bool
 }
 
 // accept decides whether a request may run now. trial is true if the request
@@ -72,7 +74,7 @@
 		return true, false
 	case r.lastResort:
 		return true, false
-	case !h.suspected || h.trialRuns:
+	case !h.suspected || h.trialRuns || r.noTrial:
 		return false, false
 	case r.idempotent && !now.Before(h.trialAt), !r.idempotent && !now.Before(h.unsafeAt):
 		h.trialRuns = true
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -47,6 +47,9 @@
 	// Cold returns for how long a started backend server of the service is cold,
 	// and the rate in requests per second that it then tolerates; 0 if unknown.
 	Cold func(service string) (time.Duration, float64)
+	// Route names the route of a request, so that latencies of different kinds of
+	// requests are not compared; "" if it is not known.
+	Route func(host, target string) string
 	// Dial opens a connection to the backend server; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnChange is told when the published state of the backend server changed.
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -72,6 +72,7 @@
 		Bounds:    platform.Bounds{ColdOver: 1.5, ColdSlack: 5},
 		Heartbeat: time.Second,
 		Cold:      func(string) (time.Duration, float64) { return 3 * time.Second, 4 },
+		Route:     func(_, target string) string { return target },
 		OnChange:  func() {}, OnCrash: func(_ string, f [][]byte) { crashed <- len(f) },
 		Logger: log.NewNopLogger(), Metrics: NewMetrics(metrics.NewRegistry()),
 	})
@@ -288,3 +289,27 @@
 	near.Close()
 	<-closed
 }
+
+// Guards against the suspicion of a backend server whose requests of one route
+// take much longer than those of another one on the same host.
+func TestLatenciesOfRoutesAreNotCompared(t *testing.T) {
+	s := newServer(t, func(conn net.Conn, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(slowFloor + 100*time.Millisecond)
+		}
+		ok(conn, r)
+	})
+	o := newOwner(t, nil)
+	require.NoError(t, o.Announce(announcement(s)))
+	for i := range 20 {
+		_, _, failure := offer(o, request(fmt.Sprint("fast", i)))
+		require.Nil(t, failure)
+	}
+	for i := range suspectAfter + 1 {
+		slow := request(fmt.Sprint("slow", i))
+		slow.Target = "/slow"
+		_, _, failure := offer(o, slow)
+		require.Nil(t, failure)
+	}
+	require.False(t, o.backend.health.suspected)
+}
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -55,6 +55,8 @@
 	body    chan []byte
 	trial   bool
 	began   time.Time
+	// route groups requests of similar latency.
+	route string
 }
 
 // Serve handles one request stream from an entry.
@@ -148,7 +150,7 @@
 	if now.Before(b.downUntil) {
 		return nil, verdict.Refuse(CodeDown, "the backend server refuses connections", b.downUntil.Sub(now))
 	}
-	request := healthRequest{idempotent: r.offer.GetIdempotent(), lastResort: r.offer.GetLastResort()}
+	request := healthRequest{idempotent: r.offer.GetIdempotent(), lastResort: r.offer.GetLastResort(), noTrial: r.offer.GetNoTrial()}
 	if !request.lastResort && o.hangs(now, b) {
 		return nil, verdict.Refuse(CodeSuspected, "the backend server has not answered a request for too long", time.Second)
 	}
@@ -169,7 +171,7 @@
 // hangs reports whether a running request is far beyond its usual time.
 func (o *Owner) hangs(now time.Time, b *backend) bool {
 	for r := range b.started {
-		if now.Sub(r.began) > b.health.overdue(healthKey(r.offer)) {
+		if now.Sub(r.began) > b.health.overdue(r.route) {
 			return true
 		}
 	}
@@ -235,7 +237,7 @@
 	if limit := o.rateLimit(now, b); limit > 0 && !b.arrivals.allow(now, limit) {
 		return verdict.Refuse(CodeCold, "the backend server tolerates no more requests within this second", b.arrivals.next(now, limit))
 	}
-	r.began = now
+	r.began, r.route = now, o.cfg.Route(r.offer.GetHost(), r.offer.GetTarget())
 	b.started[r] = struct{}{}
 	return nil
 }
@@ -360,7 +362,7 @@
 	switch {
 	case e == nil:
 	case e.Code == CodeCanceled || e.Code == admission.CodeCanceled || e.Code == admission.CodeDeadline:
-		if latency < b.health.overdue(healthKey(r.offer)) {
+		if latency < b.health.overdue(r.route) {
 			b.health.cancel(r.trial)
 			return admission.Canceled
 		}
@@ -375,7 +377,7 @@
 	late := outOfTime(reply, e)
 	failed := err != nil || reply.Status >= http.StatusInternalServerError
 	// A request that had less time than others usually take says nothing either.
-	if failed && o.calls.explain(now, r.began, late) || late && latency < b.health.overdue(healthKey(r.offer)) {
+	if failed && o.calls.explain(now, r.began, late) || late && latency < b.health.overdue(r.route) {
 		b.health.cancel(r.trial)
 		return admission.Canceled
 	}
@@ -383,7 +385,7 @@
 		o.record(b, r, now, false)
 		return admission.Failure
 	}
-	slow := b.health.slow(healthKey(r.offer), latency)
+	slow := b.health.slow(r.route, latency)
 	ok := !failed && !slow
 	o.record(b, r, now, ok)
 	if !ok {
@@ -400,9 +402,6 @@
 	return reply.Status == http.StatusGatewayTimeout
 }
 
-// healthKey groups requests with a similar latency.
-func healthKey(offer *wire.Offer) string { return offer.GetMethod() + offer.GetHost() }
-
 // record passes an outcome to the health of the backend server. o.mu is held.
 func (o *Owner) record(b *backend, r *run, now time.Time, ok bool) {
 	if b.health.record(now, ok, r.trial) {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,7 +124,7 @@
 		OnError: func(err error) { n.logger.Log("event", "link closed", "err", err) },
 	}
 	n.owner = owner.New(owner.Config{
-		Bounds: s.Bounds, Heartbeat: s.Heartbeat, Cold: n.cold, Logger: n.logger, Metrics: owner.NewMetrics(n.registry),
+		Bounds: s.Bounds, Heartbeat: s.Heartbeat, Cold: n.cold, Route: n.route, Logger: n.logger, Metrics: owner.NewMetrics(n.registry),
 		OnChange: func() { n.fleet.Publish() },
 		OnCrash: func(incarnation string, fingerprints [][]byte) {
 			n.fleet.ReportCrash(context.Background(), incarnation, fingerprints)
@@ -177,6 +178,19 @@
 	return s.ColdFor, s.ColdRate
 }
 
+// route names the route of a request by the configuration in force.
+func (n *Node) route(host, target string) string {
+	config := n.fleet.View().Config
+	if config == nil {
+		return ""
+	}
+	path, _, _ := strings.Cut(target, "?")
+	if r := config.Match(host, path); r != nil {
+		return r.Name
+	}
+	return ""
+}
+
 // limits returns the limits for callers by the configuration in force.
 func (n *Node) limits() h1.Limits {
 	config := n.fleet.View().Config
