--- a/cmd/trefoildock/sidecar_cmd.go
+++ b/cmd/trefoildock/sidecar_cmd.go
@@ -20,6 +20,7 @@
 type sidecarCmd struct {
 	CheckSettings bool   `help:"Check the settings and exit."`
 	MetricsPort   string `help:"Port of the metrics on the machine's address." default:"9464"`
+	Advertise     string `help:"Address at which other nodes reach this one, if it differs from the machine's address and first port." placeholder:"HOST:PORT"`
 }
 
 // memoryShare is the part of the machine's limit above which the collector runs
@@ -46,7 +47,7 @@
 	sink := logsink.New(a.stdout)
 	defer sink.Close()
 	logger := log.With(log.NewLogfmtLogger(sink), "ts", log.DefaultTimestampUTC, "node", s.Node)
-	node, err := process.New(process.Config{Settings: s, Logger: logger, MetricsAddress: net.JoinHostPort(s.IP, c.MetricsPort)})
+	node, err := process.New(process.Config{Settings: s, Logger: logger, Advertise: c.Advertise, MetricsAddress: net.JoinHostPort(s.IP, c.MetricsPort)})
 	if err != nil {
 		return err
 	}
--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -304,3 +304,32 @@
 	_, present = n.store.Value("members", "member/a")
 	require.False(t, present, "no backend server lives on the machine")
 }
+
+// Guards against all nodes of a fleet that knock at a store that is away.
+func TestFollowersSpareAStoreThatIsAway(t *testing.T) {
+	n := newNodes(t)
+	var states []*State
+	for i := range 12 {
+		states = append(states, n.add(fmt.Sprint("n", i)))
+	}
+	n.store.Put(platform.OperatorTable, "config", config(1, "k"))
+	for _, s := range states {
+		eventually(t, func() bool { return version(s) == 1 && len(s.View().Nodes) == len(states) }, "view")
+	}
+	calls := func() int { return n.store.Calls("/v1/rows-feed") + n.store.Calls("/v1/rows-get") }
+	before := calls()
+	n.store.SetFaults(rowstore.Faults{Busy: true})
+	const away = 5 * time.Second
+	time.Sleep(away)
+	// A reader tries the operator's table at most 4 times while its pause grows and
+	// then once a pause; another node doubles its pause up to the length of the outage.
+	readers := readersPerZone * (4 + int(away/maxRetry))
+	others := (len(states) - readersPerZone) * 6
+	watches := 2 * len(states) // Those that were open when the outage began.
+	require.LessOrEqual(t, calls()-before, readers+others+watches)
+	n.store.SetFaults(rowstore.Faults{})
+	n.store.Put(platform.OperatorTable, "config", config(2, "k"))
+	for _, s := range states {
+		eventually(t, func() bool { return version(s) == 2 }, "new version")
+	}
+}
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"maps"
@@ -167,20 +168,17 @@
 }
 
 // rankInZone orders the nodes of the own zone by a hash, so that all of them
-// agree on who reads the store.
+// agree on who reads the store. It contains this node also before its row is known.
 func (s *State) rankInZone() []*Member {
-	var out []*Member
-	for _, m := range s.View().Nodes {
-		if m.Zone == s.cfg.Self.Zone {
+	out := []*Member{&s.cfg.Self}
+	for name, m := range s.View().Nodes {
+		if m.Zone == s.cfg.Self.Zone && name != s.cfg.Self.Node {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b *Member) int {
-		if ha, hb := hashOf(a.Node), hashOf(b.Node); ha != hb {
-			if ha < hb {
-				return -1
-			}
-			return 1
+		if c := cmp.Compare(hashOf(a.Node), hashOf(b.Node)); c != 0 {
+			return c
 		}
 		return strings.Compare(a.Node, b.Node)
 	})
@@ -197,13 +195,17 @@
 // none if this node is a reader itself.
 func (s *State) leaders() []*Member {
 	ranked := s.rankInZone()
-	own := slices.IndexFunc(ranked, func(m *Member) bool { return m.Node == s.cfg.Self.Node })
+	own := s.ownRank(ranked)
 	if own < readersPerZone {
-		return nil // Also if the own row is not known yet.
+		return nil
 	}
 	return ranked[:min(followRanks, own)]
 }
 
+func (s *State) ownRank(ranked []*Member) int {
+	return slices.IndexFunc(ranked, func(m *Member) bool { return m.Node == s.cfg.Self.Node })
+}
+
 // followLoop follows readers of the zone while this node is none. It closes the
 // gate of the store while it has someone to follow.
 func (s *State) followLoop(ctx context.Context) {
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// PublishNow writes the own row at once if it differs from what it should be.
+func (s *State) PublishNow(ctx context.Context) error { return s.publishOnce(ctx) }
+
 // ownRow returns the own row as the control goroutine knows it.
 func (s *State) ownRow(ctx context.Context) (m *Member, ready bool) {
 	s.ask(ctx, func() { m, ready = s.members[s.cfg.Self.Node], s.table.known })
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -30,8 +30,11 @@
 	// minRetry and maxRetry bound the time between two tries to reach the store.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
+	// maxOtherRetry replaces maxRetry at nodes that are no readers of their zone.
+	// While the store is away, they learn of its return from the readers.
+	maxOtherRetry = 4 * time.Second
 	// publishTimeout bounds one write of the own row.
-	publishTimeout = 1500 * time.Millisecond
+	publishTimeout = 1700 * time.Millisecond
 )
 
 // Table is a table of the store with its feed of changes.
@@ -74,6 +77,8 @@
 	storeTime storeClock
 	// storeLost is set while the last call about the operator's table failed.
 	storeLost atomic.Bool
+	// known is set once the members were read.
+	known atomic.Bool
 	// gate is closed while the node follows another one in place of the store.
 	gate gate
 
@@ -134,6 +139,11 @@
 // ReadsStore reports whether this node reads the store itself.
 func (s *State) ReadsStore() bool { return s.gate.isOpen() }
 
+// isReader reports whether this node watches the store for its zone.
+func (s *State) isReader() bool {
+	return s.known.Load() && s.ownRank(s.rankInZone()) < readersPerZone
+}
+
 // Publish tells the state that the backend server to publish has changed.
 func (s *State) Publish() {
 	select {
@@ -214,11 +224,18 @@
 	})
 }
 
+// errStoreLost delays the watch of the members until that of the operator's table
+// has reached the store.
+var errStoreLost = errors.New("the store was not reached for the operator's table")
+
 // watchMembers follows the table of members.
 func (s *State) watchMembers(ctx context.Context, refresh <-chan struct{}) {
 	var after uint64
 	read := true
 	s.readWhileOpen(ctx, "members", func(ctx context.Context) error {
+		if s.storeLost.Load() {
+			return errStoreLost
+		}
 		call, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
@@ -235,8 +252,8 @@
 		whole := read
 		after, read = changes.Revision, false
 		s.storeTime.observe(changes.StoreTime)
-		s.post(ctx, func() { s.applyMembers(changes, whole) })
-		if len(changes.Rows) > 0 {
+		s.post(ctx, func() { s.applyMembers(changes, whole); s.known.Store(true) })
+		if len(changes.Rows) > 0 || whole {
 			clock.Sleep(ctx, memberPause)
 		}
 		return nil
@@ -283,7 +300,11 @@
 			s.cfg.Logger.Log("event", "store lost", "table", name, "err", err)
 		}
 		clock.Sleep(ctx, wait)
-		wait = min(2*wait, maxRetry)
+		limit := maxRetry
+		if !s.isReader() {
+			limit = maxOtherRetry
+		}
+		wait = min(2*wait, limit)
 	}
 }
 
--- a/mesh/fleet/view.go
+++ b/mesh/fleet/view.go
@@ -8,7 +8,10 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +53,31 @@
 	revision uint64
 }
 
+// Deputies returns up to n nodes for a key by rendezvous hashing, so that nodes
+// with the same members choose the same ones and a change of one member moves
+// few keys.
+func (v *View) Deputies(key string, n int) []*Member {
+	type scored struct {
+		m     *Member
+		score uint64
+	}
+	list := make([]scored, 0, len(v.Nodes))
+	for _, m := range v.Nodes {
+		list = append(list, scored{m, hashOf(key + "\x00" + m.Node)})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return strings.Compare(a.m.Node, b.m.Node)
+	})
+	out := make([]*Member, 0, n)
+	for _, s := range list[:min(n, len(list))] {
+		out = append(out, s.m)
+	}
+	return out
+}
+
 // Home is a node with its link address.
 type Home struct {
 	Node, Address string
@@ -64,6 +92,9 @@
 	Serving bool `json:"serving"`
 	// Leaving means that the backend server itself has said that it leaves.
 	Leaving bool `json:"leaving,omitempty"`
+	// HandedOver means that the process has stopped and leaves the backend server,
+	// which lives, to the next process on the machine.
+	HandedOver bool `json:"handed_over,omitempty"`
 	// BornMillis is the wall-clock time of its start, in milliseconds.
 	BornMillis int64 `json:"born_ms,omitempty"`
 }
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -28,6 +28,10 @@
 	// restartWindow is the time after a lost connection in which a new start of
 	// the backend server counts as a crash.
 	restartWindow = 10 * time.Second
+	// adoptionTime is how long a new process sends requests to the backend server
+	// that the earlier process handed over, until its first heartbeat. A heartbeat
+	// comes every 1.5 s.
+	adoptionTime = 2500 * time.Millisecond
 	// heartbeatsMissed is the number of intervals without a heartbeat after which a
 	// backend server may have turned cold unnoticed.
 	heartbeatsMissed = 3
@@ -88,6 +92,9 @@
 	// heard is when the last heartbeat arrived, refused when a connection failed last.
 	heard, refused time.Time
 	downUntil      time.Time
+	// adoptedUntil ends the use of a backend server that was handed over by an
+	// earlier process; zero once it has announced itself to this one.
+	adoptedUntil time.Time
 	// lost holds the fingerprints of requests whose connection broke.
 	lost    []lostRequest
 	started map[*run]struct{}
@@ -105,11 +112,14 @@
 type Status struct {
 	ID, Service string
 	Slots       int
-	// Serving means that requests are accepted in principle.
+	// Serving means that requests are accepted in principle. A process that stops
+	// refuses them for a moment, which callers learn from its answers.
 	Serving bool
 	// Leaving means that the backend server has said that it leaves.
 	Leaving bool
-	Born    time.Time
+	// Alive means that heartbeats arrive.
+	Alive bool
+	Born  time.Time
 }
 
 // Status returns the published state, or false without a backend server.
@@ -117,13 +127,15 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b := o.backend
-	if b == nil {
+	now := time.Now()
+	if b == nil || b.adoptionEnded(now) {
 		return Status{}, false
 	}
 	a := b.announcement
 	return Status{
-		ID: a.ID, Service: a.Service, Slots: a.Slots, Born: a.Born,
-		Serving: !o.leaving && !b.gone && !a.Draining, Leaving: b.gone || a.Draining,
+		Alive: !now.Before(b.downUntil) && now.Sub(b.heard) < 2*o.cfg.Heartbeat,
+		ID:    a.ID, Service: a.Service, Slots: a.Slots, Born: a.Born,
+		Serving: !b.gone && !a.Draining, Leaving: b.gone || a.Draining,
 	}, true
 }
 
@@ -140,7 +152,6 @@
 	o.leaving = true
 	o.applyState()
 	o.mu.Unlock()
-	o.cfg.OnChange()
 }
 
 // SetEvacuated takes the backend server out of service or back, on behalf of
@@ -191,7 +202,7 @@
 	if a.Sequence <= b.announcement.Sequence {
 		return false
 	}
-	b.heard = now
+	b.heard, b.adoptedUntil = now, time.Time{}
 	before := b.announcement
 	a.Draining = a.Draining || before.Draining
 	b.announcement = a
@@ -251,6 +262,32 @@
 	return nil
 }
 
+// Adopt takes over a backend server from an earlier process of this node, which
+// was the last to hear of it. It may be cold, so its rate is limited until it
+// announces itself.
+func (o *Owner) Adopt(a platform.Announcement) {
+	o.mu.Lock()
+	adopted := o.backend == nil
+	if adopted {
+		now := time.Now()
+		o.backend = o.newBackend(now, a)
+		o.backend.heard = time.Time{}
+		o.backend.adoptedUntil = now.Add(adoptionTime)
+		o.applyState()
+	}
+	o.mu.Unlock()
+	o.cfg.Logger.Log("event", "backend server taken over from the earlier process", "backend", a.ID, "adopted", adopted)
+	if adopted {
+		o.cfg.OnChange()
+	}
+}
+
+// adoptionEnded reports whether the backend server was taken over from an earlier
+// process and has not announced itself in time.
+func (b *backend) adoptionEnded(now time.Time) bool {
+	return !b.adoptedUntil.IsZero() && !now.Before(b.adoptedUntil)
+}
+
 // RememberLeaving tells a new process that the backend server with the given id
 // told an earlier one that it leaves.
 func (o *Owner) RememberLeaving(id string) {
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -313,3 +313,36 @@
 	}
 	require.False(t, o.backend.health.suspected)
 }
+
+// Guards against a sound backend server that is unused while its node restarts,
+// and against one that a new process goes on using after it has left.
+func TestHandedOverBackendIsUsedUntilItsHeartbeatIsDue(t *testing.T) {
+	s := newServer(t, ok)
+	o := newOwner(t, nil)
+	adopted := announcement(s)
+	adopted.Sequence = 0 // The row of the earlier process does not tell it.
+	o.Adopt(adopted)
+	_, _, failure := offer(o, request("r1"))
+	require.Nil(t, failure)
+	o.backend.adoptedUntil = time.Now()
+	_, _, failure = offer(o, request("r2"))
+	require.NotNil(t, failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	_, known := o.Status()
+	require.False(t, known)
+	require.NoError(t, o.Announce(announcement(s)))
+	_, _, failure = offer(o, request("r3"))
+	require.Nil(t, failure, "its heartbeat makes it known")
+}
+
+// Guards against a backend server that is crushed because a new process does not
+// know whether it is cold.
+func TestHandedOverBackendMayBeCold(t *testing.T) {
+	s := newServer(t, ok)
+	o := newOwner(t, nil)
+	o.Adopt(announcement(s))
+	for i := range 20 {
+		offer(o, request(fmt.Sprint(i)))
+	}
+	require.EqualValues(t, 4*1.5+5-rateMargin, s.got.Load())
+}
--- a/mesh/owner/run.go
+++ b/mesh/owner/run.go
@@ -144,7 +144,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b := o.backend
-	if b == nil || b.announcement.Service != r.offer.GetService() {
+	if b == nil || b.adoptionEnded(now) || b.announcement.Service != r.offer.GetService() {
 		return nil, verdict.Refuse(CodeNotOwner, "this node has no backend server of the service", time.Second)
 	}
 	if now.Before(b.downUntil) {
@@ -231,7 +231,7 @@
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if state := o.state(b); b != o.backend || state != admission.Serving {
+	if state := o.state(b); b != o.backend || state != admission.Serving || b.adoptionEnded(now) {
 		return verdict.Refuse(state.String(), "the backend server left service", time.Second)
 	}
 	if limit := o.rateLimit(now, b); limit > 0 && !b.arrivals.allow(now, limit) {
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -40,6 +40,8 @@
 		a = &wire.Answer{Body: &wire.Answer_Take{Take: n.answerTake(m.Take)}}
 	case *wire.Call_Follow:
 		a = &wire.Answer{Body: &wire.Answer_Follow{Follow: n.answerFollow(m.Follow)}}
+	case *wire.Call_StoreWrite:
+		a = &wire.Answer{Body: &wire.Answer_StoreWrite{StoreWrite: n.answerStoreWrite(m.StoreWrite)}}
 	default:
 		return errors.New("unknown call")
 	}
@@ -50,6 +52,9 @@
 // answerTake gives out requests of a team if this node is the home of the rates.
 func (n *Node) answerTake(t *wire.Take) *wire.TakeAnswer {
 	ledger, config := n.keeper.Ledger(), n.fleet.View().Config
+	if t.GetOverrun() {
+		return n.answerOverrun(config, t)
+	}
 	if ledger == nil && t.GetDeputy() {
 		return n.relayTake(t)
 	}
@@ -60,10 +65,40 @@
 	if limit == nil {
 		return &wire.TakeAnswer{RetryAfterUs: time.Second.Microseconds()}
 	}
+	if t.GetSpare() && !ledger.HasSpare(time.Now(), limit) {
+		return &wire.TakeAnswer{}
+	}
 	granted, wait := ledger.Take(time.Now(), limit, int(t.GetTokens()))
 	return &wire.TakeAnswer{Granted: uint32(granted), RetryAfterUs: wait.Microseconds()}
 }
 
+// answerOverrun gives out requests of a team as its deputy while no home is known.
+func (n *Node) answerOverrun(config *routing.Config, t *wire.Take) *wire.TakeAnswer {
+	var team *routing.Team
+	if config != nil {
+		team = config.Team(t.GetTeam())
+	}
+	if team == nil {
+		return &wire.TakeAnswer{}
+	}
+	taken := n.rates.TakeOverrun(time.Now(), team)
+	return &wire.TakeAnswer{Granted: uint32(taken.Granted), RetryAfterUs: taken.Wait.Microseconds()}
+}
+
+// deputies returns the nodes that give out the overrun of a team.
+func (n *Node) deputies(team string) []quota.Home {
+	var out []quota.Home
+	for _, m := range n.fleet.View().Deputies(team, quota.Deputies) {
+		out = append(out, quota.Home{Node: m.Node, Address: m.Address})
+	}
+	return out
+}
+
+// askDeputy takes one request of a team from the overrun that a deputy gives out.
+func (n *Node) askDeputy(ctx context.Context, h quota.Home, team string) (quota.Taken, error) {
+	return n.take(ctx, h.Address, &wire.Take{Team: team, Tokens: 1, Overrun: true})
+}
+
 // limitOf returns the limit that a call takes from, or nil if there is none.
 func (n *Node) limitOf(config *routing.Config, t *wire.Take) *routing.Team {
 	if service := t.GetRetryOf(); service != "" {
@@ -84,7 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
-	taken, err := n.askRate(ctx, home, quota.Want{Team: t.GetTeam(), RetryOf: t.GetRetryOf()})
+	taken, err := n.askRate(ctx, home, quota.Want{Team: t.GetTeam(), RetryOf: t.GetRetryOf(), Spare: t.GetSpare()})
 	if err != nil {
 		return &wire.TakeAnswer{NotHome: true}
 	}
@@ -112,12 +147,12 @@
 	if len(near) == 0 {
 		return quota.Taken{}, errors.New("no other node is known")
 	}
-	return n.take(ctx, near[rand.IntN(len(near))], &wire.Take{Team: w.Team, RetryOf: w.RetryOf, Tokens: 1, Deputy: true})
+	return n.take(ctx, near[rand.IntN(len(near))], &wire.Take{Team: w.Team, RetryOf: w.RetryOf, Spare: w.Spare, Tokens: 1, Deputy: true})
 }
 
 // askRate takes one request of a team from the home.
 func (n *Node) askRate(ctx context.Context, h quota.Home, w quota.Want) (quota.Taken, error) {
-	return n.take(ctx, h.Address, &wire.Take{Team: w.Team, RetryOf: w.RetryOf, Tokens: 1})
+	return n.take(ctx, h.Address, &wire.Take{Team: w.Team, RetryOf: w.RetryOf, Spare: w.Spare, Tokens: 1})
 }
 
 func (n *Node) take(ctx context.Context, address string, t *wire.Take) (quota.Taken, error) {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -48,6 +48,14 @@
 	// leaveNotice is the time after SIGTERM in which callers learn that the node is
 	// not ready: two questions, one second apart.
 	leaveNotice = 2200 * time.Millisecond
+	// serveTime is the time after SIGTERM in which requests of other nodes are
+	// still run by the backend server here, so that the rest ends with leaveNotice.
+	serveTime = 1600 * time.Millisecond
+	// handoverTime is the age of a process from which it no longer takes over the
+	// backend server of an earlier one.
+	handoverTime = time.Second
+	// handoverTimeout bounds the write that hands the backend server over.
+	handoverTimeout = 400 * time.Millisecond
 	// acceptTime is the time after SIGTERM in which requests are still taken. Later
 	// ones are refused, so that every request that was taken can finish.
 	acceptTime = 2900 * time.Millisecond
@@ -61,6 +69,9 @@
 type Config struct {
 	Settings *platform.Settings
 	Logger   log.Logger
+	// Advertise is the address at which other nodes reach this one; empty means the
+	// machine's address and first port.
+	Advertise string
 	// MetricsAddress serves the metrics; empty serves none.
 	MetricsAddress string
 }
@@ -83,11 +94,15 @@
 	entry  *entry.Entry
 	front  *h1.Server
 
+	// advertised is the address that other nodes dial.
+	advertised     string
 	metricsAddress string
 	leaving        atomic.Bool
+	stopped        atomic.Bool
 	remembered     sync.Once
 	cancel         func()
 	http           []*http.Server
+	announcements  *http.Server
 	listeners      []net.Listener
 	wg             sync.WaitGroup
 }
@@ -97,7 +112,10 @@
 	s := c.Settings
 	n := &Node{
 		settings: s, logger: c.Logger, registry: metrics.NewRegistry(), incarnation: uuid.Must(uuid.NewV7()).String(),
-		metricsAddress: c.MetricsAddress, started: time.Now(),
+		advertised: c.Advertise, metricsAddress: c.MetricsAddress, started: time.Now(),
+	}
+	if n.advertised == "" {
+		n.advertised = n.linkAddress()
 	}
 	malformed := metrics.NewRegisteredCounter("store.malformed", n.registry)
 	store, err := platform.NewClient(platform.ClientConfig{
@@ -130,10 +148,9 @@
 			n.fleet.ReportCrash(context.Background(), incarnation, fingerprints)
 		},
 	})
-	address := n.linkAddress()
 	n.fleet = fleet.New(fleet.Config{
-		Self:     fleet.Member{Node: s.Node, Zone: s.Zone, Address: address, Incarnation: n.incarnation},
-		Operator: n.store.Rows(platform.OperatorTable), Members: n.store.Rows(memberTable),
+		Self:     fleet.Member{Node: s.Node, Zone: s.Zone, Address: n.advertised, Incarnation: n.incarnation},
+		Operator: n.store.Rows(platform.OperatorTable), Members: n.relayed(memberTable),
 		Backend: n.published, AskPeer: n.askKnowledge,
 		OnHome:   func(h fleet.Home) { n.keeper.Learn(quota.Home(h)) },
 		LostHome: func() string { return n.keeper.LostAddress() },
@@ -145,13 +162,13 @@
 		OnView: n.viewChanged, Logger: n.logger,
 	})
 	n.keeper = &quota.Keeper{
-		Self: quota.Home{Node: s.Node, Address: address}, Table: n.store.Rows(leaseTable), Logger: n.logger,
+		Self: quota.Home{Node: s.Node, Address: n.advertised}, Table: n.relayed(leaseTable), Logger: n.logger,
 		Incarnation: n.incarnation, StoreNow: n.fleet.StoreNow, MayLook: n.fleet.ReadsStore,
 		OnHome: func(h quota.Home) { n.fleet.SetHome(context.Background(), fleet.Home(h)) },
 	}
 	n.keeper.Init()
 	n.rates = &quota.Rates{
-		Keeper: n.keeper, Ask: n.askRate, Relay: n.askThroughPeer, RetryLimit: n.retryLimit, Nodes: func() int { return len(n.fleet.View().Nodes) },
+		Keeper: n.keeper, Ask: n.askRate, Relay: n.askThroughPeer, RetryLimit: n.retryLimit, Deputies: n.deputies, AskDeputy: n.askDeputy, Started: n.started,
 		Allowance: quota.Allowance{Window: s.Bounds.RateWindow, Over: s.Bounds.RateOver, Slack: s.Bounds.RateSlack},
 	}
 	n.entry = entry.New(entry.Config{
@@ -213,19 +230,34 @@
 	if !known {
 		return nil, time.Since(n.started) > firstHeartbeat
 	}
-	return &fleet.Backend{
+	b := &fleet.Backend{
 		ID: s.ID, Service: s.Service, Slots: s.Slots, Serving: s.Serving, Leaving: s.Leaving, BornMillis: s.Born.UnixMilli(),
-	}, true
+	}
+	if n.stopped.Load() {
+		b.Serving = b.Serving && s.Alive
+		b.HandedOver = b.Serving
+	}
+	return b, true
 }
 
 // viewChanged passes beliefs on to the owner.
 func (n *Node) viewChanged(v *fleet.View) {
 	n.owner.SetEvacuated(v.ZonesOut[n.settings.Zone])
 	if own := v.Nodes[n.settings.Node]; own != nil {
-		n.remembered.Do(func() {
-			if own.Backend != nil && own.Backend.Leaving && own.Incarnation != n.incarnation {
-				n.owner.RememberLeaving(own.Backend.ID)
-			}
+		n.remembered.Do(func() { n.takeOver(own) })
+	}
+}
+
+// takeOver learns from the row of the earlier process what it knew of the backend server.
+func (n *Node) takeOver(earlier *fleet.Member) {
+	b := earlier.Backend
+	switch {
+	case b == nil || earlier.Incarnation == n.incarnation:
+	case b.Leaving:
+		n.owner.RememberLeaving(b.ID)
+	case b.HandedOver && time.Since(n.started) < handoverTime:
+		n.owner.Adopt(platform.Announcement{
+			ID: b.ID, Service: b.Service, Address: n.settings.BackendAddress, Slots: b.Slots, Born: time.UnixMilli(b.BornMillis),
 		})
 	}
 }
@@ -260,7 +292,7 @@
 	withdraw := time.AfterFunc(firstHeartbeat+tickInterval, n.fleet.Publish)
 	defer withdraw.Stop()
 	n.logger.Log("event", "node started", "node", n.settings.Node, "zone", n.settings.Zone, "service", n.settings.BackendService,
-		"incarnation", n.incarnation, "link", n.linkAddress(), "store", n.settings.StoreAddress)
+		"incarnation", n.incarnation, "link", n.linkAddress(), "advertised", n.advertised, "store", n.settings.StoreAddress)
 	<-ctx.Done()
 	n.shutDown()
 	return nil
@@ -284,8 +316,9 @@
 	started := time.Now()
 	n.leaving.Store(true)
 	n.logger.Log("event", "node leaving", "callers", n.front.Active(), "running", n.owner.Running())
-	n.owner.Stop()
 	n.front.Stop()
+	serve := time.AfterFunc(serveTime, n.owner.Stop)
+	defer serve.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	go func() { defer cancel(); n.keeper.Stop(ctx) }()
 	refuse := time.AfterFunc(acceptTime, n.entry.Stop)
@@ -301,9 +334,26 @@
 		}
 		time.Sleep(leaveQuiet / 4)
 	}
+	n.handOver()
 	n.logger.Log("event", "node stopped", "callers", n.front.Active(), "running", n.owner.Running(), "took", time.Since(started))
 }
 
+// handOver writes into the own row that the next process on this machine may go on
+// with the backend server. No heartbeat is acknowledged after that, because the
+// row could not tell of it.
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if err := n.announcements.Shutdown(ctx); err != nil {
+		n.logger.Log("event", "heartbeats not ended", "err", err)
+		return
+	}
+	n.stopped.Store(true)
+	if err := n.fleet.PublishNow(ctx); err != nil {
+		n.logger.Log("event", "backend server not handed over", "err", err)
+	}
+}
+
 func (n *Node) close() {
 	n.cancel()
 	for _, ln := range n.listeners {
--- a/mesh/process/sockets.go
+++ b/mesh/process/sockets.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	n.serveHTTP(announce, platform.AnnouncementHandler(n))
+	n.announcements = n.serveHTTP(announce, platform.AnnouncementHandler(n))
 	ready, err := n.open("readiness", n.settings.ListenReady, net.ListenConfig{})
 	if err != nil {
 		return err
@@ -88,10 +88,11 @@
 	return ln, nil
 }
 
-func (n *Node) serveHTTP(ln net.Listener, h http.Handler) {
+func (n *Node) serveHTTP(ln net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: httpTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: time.Minute}
 	n.http = append(n.http, s)
 	n.wg.Go(func() { _ = s.Serve(ln) }) // Ends with Close.
+	return s
 }
 
 // serveMetrics writes the metrics as text, one value per line.
--- a/mesh/quota/lease.go
+++ b/mesh/quota/lease.go
@@ -23,10 +23,13 @@
 	// leaseMargin is the time before its end at which a home stops. It covers the
 	// error of the estimate of the store's clock.
 	leaseMargin = 500 * time.Millisecond
-	// leaseTimeout bounds one call about the lease.
-	leaseTimeout = 1200 * time.Millisecond
+	// leaseTimeout bounds one call about the lease, which other nodes may have to
+	// repeat on behalf of this one.
+	leaseTimeout = 1700 * time.Millisecond
 	// searchInterval is the time between two looks for a home.
 	searchInterval = 500 * time.Millisecond
+	// maxSearchInterval bounds it while the store does not answer.
+	maxSearchInterval = 2 * time.Second
 	// learnWait is how long a node that follows others waits to learn of the home
 	// before it looks for it itself.
 	learnWait = 3 * time.Second
@@ -143,6 +146,7 @@
 // Run keeps the lease if this node holds it and looks for the home otherwise.
 func (k *Keeper) Run(ctx context.Context) {
 	clock.Sleep(ctx, rand.N(startSpread))
+	wait := searchInterval
 	for ctx.Err() == nil {
 		if k.holding() {
 			k.renew(ctx)
@@ -159,8 +163,11 @@
 		}
 		if err := k.look(ctx); err != nil {
 			k.Logger.Log("event", "home of the rates not found", "err", err)
+			wait = min(2*wait, maxSearchInterval)
+		} else {
+			wait = searchInterval
 		}
-		clock.Sleep(ctx, searchInterval+rand.N(searchInterval/2))
+		clock.Sleep(ctx, wait+rand.N(wait/2))
 	}
 }
 
@@ -202,23 +209,12 @@
 func (k *Keeper) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	changes, err := k.Table.Read(ctx)
+	held, revision, now, err := k.read(ctx)
 	if err != nil {
-		return errors.Wrap(err, "read the lease")
-	}
-	var held leaseRecord
-	revision := uint64(0)
-	for _, row := range changes.Rows {
-		if row.Key != leaseKey {
-			continue
-		}
-		revision = row.Revision
-		if err := json.Unmarshal(row.Value, &held); err != nil {
-			k.Logger.Log("event", "lease row refused", "err", err)
-		}
+		return err
 	}
 	own := held.Holder == k.Self.Node // Of this process, or of an earlier one on this machine, which is gone.
-	if revision != 0 && !own && changes.StoreTime < time.Duration(held.UntilMillis)*time.Millisecond {
+	if revision != 0 && !own && now < time.Duration(held.UntilMillis)*time.Millisecond {
 		k.found(Home{Node: held.Holder, Address: held.Address})
 		return nil
 	}
@@ -274,7 +270,7 @@
 	}
 	written, err := k.Table.Write(ctx, leaseKey, value, expected)
 	if err != nil {
-		return k.writeFailed(err)
+		return k.writeFailed(ctx, err)
 	}
 	k.mu.Lock()
 	k.revision, k.until = written.Revision, started.Add(leaseTime-leaseMargin)
@@ -290,22 +286,51 @@
 	return nil
 }
 
-// writeFailed gives the lease up if another node holds it. After an unknown
-// outcome the revision of the row is not known, so the next renewal may
-// conflict; the lease then ends early and is claimed again.
-func (k *Keeper) writeFailed(err error) error {
+// writeFailed handles a write that failed. A conflict usually means that an
+// earlier write without an answer took effect, so the row tells who holds the
+// lease. Without an answer to that the lease lasts until its end, because no other
+// node claims it before.
+func (k *Keeper) writeFailed(ctx context.Context, err error) error {
 	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		k.mu.Lock()
-		if k.ledger != nil {
-			k.Logger.Log("event", "lease of the rates lost to a conflict")
-		}
-		k.ledger, k.home = nil, Home{}
-		k.mu.Unlock()
+	if !errors.As(err, &conflict) {
+		return errors.Wrap(err, "write the lease")
+	}
+	held, revision, _, readErr := k.read(ctx)
+	if readErr != nil {
+		return errors.Wrap(errors.CombineErrors(err, readErr), "write the lease")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if held.Holder == k.Self.Node && held.Incarnation == k.Incarnation {
+		k.revision = revision
+		k.Logger.Log("event", "lease of the rates kept after a lost answer", "revision", revision)
+		return nil
+	}
+	if k.ledger != nil {
+		k.Logger.Log("event", "lease of the rates lost", "holder", held.Holder, "revision", revision)
 	}
+	k.ledger, k.home = nil, Home{}
 	return errors.Wrap(err, "write the lease")
 }
 
+// read returns the lease, the revision of its row and the store's time.
+func (k *Keeper) read(ctx context.Context) (held leaseRecord, revision uint64, now time.Duration, err error) {
+	changes, err := k.Table.Read(ctx)
+	if err != nil {
+		return held, 0, 0, errors.Wrap(err, "read the lease")
+	}
+	for _, row := range changes.Rows {
+		if row.Key != leaseKey {
+			continue
+		}
+		revision = row.Revision
+		if err := json.Unmarshal(row.Value, &held); err != nil {
+			k.Logger.Log("event", "lease row refused", "err", err)
+		}
+	}
+	return held, revision, changes.StoreTime, nil
+}
+
 // Stop ends the lease, so that another node becomes home at once. The row stays:
 // without it the next home would give out the whole burst again.
 func (k *Keeper) Stop(ctx context.Context) {
--- a/mesh/quota/ledger.go
+++ b/mesh/quota/ledger.go
@@ -2,8 +2,8 @@
 //
 // One node, the home, holds a lease in the platform's store and gives out
 // single requests from one token bucket per team. The other nodes ask it for
-// each request of a team with a limit. While there is no home, every node may
-// spend its part of the overrun that the deployment tolerates.
+// each request of a team with a limit. While there is no home, deputies of a
+// team give out the overrun that the deployment tolerates.
 package quota
 
 import (
@@ -51,6 +51,13 @@
 	return granted, 0
 }
 
+// HasSpare reports whether more than half of what can be saved up is left.
+func (l *Ledger) HasSpare(now time.Time, team *routing.Team) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bucket(now, team).tokens > max(team.Burst, 1)/2
+}
+
 // bucket returns the bucket of a team, filled up to now.
 func (l *Ledger) bucket(now time.Time, team *routing.Team) *bucket {
 	b := l.buckets[team.Name]
@@ -82,8 +89,8 @@
 	return &routing.Team{Name: "retries of " + service, Burst: part / 3, Rate: part * 2 / 3 / max(window.Seconds(), 1)}
 }
 
-// Allowance is the part of the tolerated overrun that one node may spend while
-// there is no home.
+// Allowance is the overrun that the deployment tolerates. While there is no home,
+// deputies of a team give it out.
 type Allowance struct {
 	// Window, Over and Slack are the bounds of the deployment: within a window a
 	// team may exceed rate and burst by the share Over and the number Slack.
@@ -91,15 +98,24 @@
 	Over, Slack float64
 }
 
-// team returns a limit that keeps n nodes together within the allowance.
-func (a Allowance) team(t *routing.Team, nodes int) (*routing.Team, bool) {
+const (
+	// Deputies is the number of nodes that give out the overrun of a team.
+	Deputies = 3
+	// deputyParts is the number of parts of the overrun, of which a deputy gives out
+	// one per window. It exceeds Deputies, because nodes whose views differ for a
+	// moment may ask another deputy.
+	deputyParts = 4
+)
+
+// deputyLimit returns the limit of one deputy, or false if it is below one request.
+func (a Allowance) deputyLimit(t *routing.Team) (*routing.Team, bool) {
 	seconds := a.Window.Seconds()
-	if seconds <= 0 || nodes < 1 {
+	if seconds <= 0 {
 		return nil, false
 	}
-	part := ((t.Rate*seconds+t.Burst)*a.Over + a.Slack) / float64(nodes)
-	if part <= 1 {
+	part := ((t.Rate*seconds+t.Burst)*a.Over + a.Slack) / deputyParts
+	if part < 2 {
 		return nil, false
 	}
-	return &routing.Team{Name: t.Name, Rate: (part - 1) / seconds, Burst: 1}, true
+	return &routing.Team{Name: t.Name, Rate: part / 2 / seconds, Burst: part / 2}, true
 }
--- a/mesh/quota/rates.go
+++ b/mesh/quota/rates.go
@@ -23,6 +23,8 @@
 	// relayTime is how long the home is asked through another node before it is
 	// tried directly again.
 	relayTime = 2 * time.Second
+	// silentTime is how long a deputy that did not answer is not asked again.
+	silentTime = time.Second
 	// minRetryAfter is the least hint with a refusal.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -40,6 +42,8 @@
 // service.
 type Want struct {
 	Team, RetryOf string
+	// Spare takes a retry only if more than half of the saved budget is left.
+	Spare bool
 }
 
 // Rates decides for a node whether a request of a team may run.
@@ -52,12 +56,19 @@
 	Relay func(ctx context.Context, w Want) (Taken, error)
 	// RetryLimit is the limit of the retries of a service that the home gives out.
 	RetryLimit func(service string) *routing.Team
-	// Nodes returns the number of nodes that share the allowance.
-	Nodes     func() int
+	// Deputies returns the nodes that give out the overrun of a team while there is
+	// no home, and AskDeputy asks one of them.
+	Deputies  func(team string) []Home
+	AskDeputy func(ctx context.Context, h Home, team string) (Taken, error)
 	Allowance Allowance
-
-	mu       sync.Mutex
-	fallback *Ledger
+	// Started is when this process started.
+	Started time.Time
+
+	mu sync.Mutex
+	// overrun is what this node has given out as a deputy.
+	overrun *Ledger
+	// silent are deputies that did not answer, until the given times.
+	silent map[Home]time.Time
 	// relayUntil is the time until which the home is asked through another node.
 	relayUntil time.Time
 }
@@ -79,7 +90,7 @@
 			return overRate(taken.Wait)
 		case ok:
 			clock.Sleep(ctx, max(taken.Wait, time.Millisecond))
-		case r.takeAllowance(now, team):
+		case r.askDeputies(ctx, team):
 			return nil
 		case now.Sub(started) > findWait:
 			return verdict.Refuse("rate-unknown", "no node keeps the rate of the team at the moment", minRetryAfter)
@@ -93,15 +104,19 @@
 }
 
 // TakeRetry takes one retry of the service from the fleet's budget. It never
-// waits for one.
-func (r *Rates) TakeRetry(ctx context.Context, service string) bool {
-	taken, ok := r.take(ctx, r.RetryLimit(service), Want{RetryOf: service})
+// waits for one. Half of the budget is kept for calls of backend servers, whose
+// failure fails the request that waits for them.
+func (r *Rates) TakeRetry(ctx context.Context, service string, call bool) bool {
+	taken, ok := r.take(ctx, r.RetryLimit(service), Want{RetryOf: service, Spare: !call})
 	return ok && taken.Granted > 0
 }
 
 // take asks the home. It returns false if there is none.
 func (r *Rates) take(ctx context.Context, limit *routing.Team, w Want) (Taken, bool) {
 	if ledger := r.Keeper.Ledger(); ledger != nil {
+		if w.Spare && !ledger.HasSpare(time.Now(), limit) {
+			return Taken{}, true
+		}
 		granted, wait := ledger.Take(time.Now(), limit, 1)
 		return Taken{Granted: granted, Wait: wait}, true
 	}
@@ -148,20 +163,61 @@
 	}
 }
 
-// takeAllowance spends the part of the tolerated overrun of this node.
-func (r *Rates) takeAllowance(now time.Time, team *routing.Team) bool {
-	part, ok := r.Allowance.team(team, r.Nodes())
+// askDeputies takes a request of the team from the tolerated overrun.
+func (r *Rates) askDeputies(ctx context.Context, team *routing.Team) bool {
+	for _, h := range r.Deputies(team.Name) {
+		if h == r.Keeper.Self {
+			if r.TakeOverrun(time.Now(), team).Granted > 0 {
+				return true
+			}
+			continue
+		}
+		if r.isSilent(h) {
+			continue
+		}
+		taken, err := r.ask(ctx, func(ctx context.Context) (Taken, error) { return r.AskDeputy(ctx, h, team.Name) })
+		if err != nil {
+			r.Keeper.Logger.Log("event", "deputy of the rates not reached", "deputy", h.Node, "team", team.Name, "err", err)
+			r.markSilent(h)
+			continue
+		}
+		if taken.Granted > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TakeOverrun gives out one request of the team as its deputy.
+func (r *Rates) TakeOverrun(now time.Time, team *routing.Team) Taken {
+	limit, ok := r.Allowance.deputyLimit(team)
 	if !ok {
-		return false
+		return Taken{}
 	}
 	r.mu.Lock()
-	if r.fallback == nil {
-		r.fallback = NewLedger(now, true)
+	if r.overrun == nil {
+		// An earlier process of this node may have given out its part a moment ago.
+		r.overrun = NewLedger(r.Started, false)
 	}
-	ledger := r.fallback
+	ledger := r.overrun
 	r.mu.Unlock()
-	granted, _ := ledger.Take(now, part, 1)
-	return granted > 0
+	granted, wait := ledger.Take(now, limit, 1)
+	return Taken{Granted: granted, Wait: wait}
+}
+
+func (r *Rates) isSilent(h Home) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.silent[h])
+}
+
+func (r *Rates) markSilent(h Home) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent == nil {
+		r.silent = make(map[Home]time.Time)
+	}
+	r.silent[h] = time.Now().Add(silentTime)
 }
 
 func overRate(wait time.Duration) error {
