--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,11 @@
 MODULES := $(shell sed -n 's|^[[:space:]]*\./||p' go.work)
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 SEED ?= 1
+SOAK_SEED ?= 0
+SEEDS ?= 5
+SOAK_LENGTH ?= 20s
 
-.PHONY: help build check format-check format lint test generate tidy demo serve measure curve slopes
+.PHONY: help build check format-check format lint test generate tidy demo serve soak measure curve slopes
 
 help: ## List the targets.
 	@sed -n 's/^\([a-z-]*\):.*## \(.*\)/\1\t\2/p' $(MAKEFILE_LIST) | expand -t 16
@@ -32,7 +35,7 @@
 	GOFLAGS= GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 
 build: ## Build bin/trefoildock and the stand-ins.
-	go build -o bin/ ./cmd/... ./standin/...
+	go build -o bin/ ./cmd/... ./standin/... ./soak/cmd/...
 
 check: format-check lint test ## Formatter, linter and all tests.
 
@@ -69,3 +72,6 @@
 tidy: ## Tidy every module.
 	for m in $(MODULES); do (cd $$m && go mod tidy); done
 	go work sync
+
+soak: build ## Run the fault soak: SEEDS runs of SOAK_LENGTH from SOAK_SEED on (0: fresh seeds).
+	bin/soak --seed $(SOAK_SEED) --seeds $(SEEDS) --length $(SOAK_LENGTH)
--- a/cmd/trefoildock/cli.go
+++ b/cmd/trefoildock/cli.go
@@ -35,6 +35,7 @@
 	Audit   auditCmd   `cmd:"" help:"Show who changed the configuration, when, how and at whose request."`
 	Node    nodeCmd    `cmd:"" help:"Run a node."`
 	Sidecar sidecarCmd `cmd:"" help:"Run a node on the platform whose settings file TREFOILDOCK_SETTINGS names."`
+	Explain explainCmd `cmd:"" help:"Show what the logs of sidecars say of one request."`
 	Version versionCmd `cmd:"" help:"Show the version of this program."`
 }
 
--- a/mesh/quota/lease_test.go
+++ b/mesh/quota/lease_test.go
@@ -107,7 +107,7 @@
 	direct, relayed := 0, 0
 	r := &Rates{
 		Keeper: b,
-		Ask: func(context.Context, Home, Want) (Taken, error) { direct++; return Taken{}, errors.New("cut off") },
+		Ask:    func(context.Context, Home, Want) (Taken, error) { direct++; return Taken{}, errors.New("cut off") },
 		Relay: func(context.Context, Want) (Taken, error) {
 			relayed++
 			granted, wait := a.Ledger().Take(time.Now(), team, 1)
