--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -105,7 +105,7 @@
 	e.mu.Lock()
 	allowed := budget.Hedge(time.Now(), q.retryRequest(int(q.attempts.Load())))
 	e.mu.Unlock()
-	if !allowed && (q.attempts.Load() != 1 || !e.cfg.Rates.TakeRetry(ctx, q.service, q.isCall())) {
+	if !allowed && (q.attempts.Load() != 1 || !e.cfg.Rates.TakeRetry(ctx, q.service, e.isMostUrgent(q))) {
 		return <-first
 	}
 	e.cfg.Metrics.Hedges.Inc(1)
@@ -159,7 +159,16 @@
 	repeatable := request.Repeatable(now, v)
 	allowed := budget.May(now, request, v)
 	e.mu.Unlock()
-	return allowed || repeatable && e.cfg.Rates.TakeRetry(ctx, q.service, q.isCall())
+	return allowed || repeatable && e.cfg.Rates.TakeRetry(ctx, q.service, e.isMostUrgent(q))
+}
+
+// isMostUrgent reports whether no other requests are more urgent. A call is as
+// urgent as the requests that the backend server on this machine runs.
+func (e *Entry) isMostUrgent(q *request) bool {
+	if q.isCall() {
+		return q.view.Config.ServesMostUrgent(e.cfg.Service)
+	}
+	return q.view.Config.IsMostUrgent(q.route)
 }
 
 // onlyShed reports whether the backend server stated that it did not run the
--- a/mesh/quota/ledger_test.go
+++ b/mesh/quota/ledger_test.go
@@ -71,8 +71,8 @@
 	require.Equal(t, 1, r.TakeOverrun(start.Add(5*time.Second), team).Granted)
 }
 
-// Guards against callers' retries that use up what calls of backend servers need.
-func TestSpareBudgetIsKeptForCalls(t *testing.T) {
+// Guards against retries that use up what more urgent requests need.
+func TestSpareBudgetIsKept(t *testing.T) {
 	limit := &routing.Team{Name: "retries", Rate: 1, Burst: 10}
 	l := NewLedger(start, true)
 	for range 5 {
--- a/mesh/quota/rates.go
+++ b/mesh/quota/rates.go
@@ -104,10 +104,9 @@
 }
 
 // TakeRetry takes one retry of the service from the fleet's budget. It never
-// waits for one. Half of the budget is kept for calls of backend servers, whose
-// failure fails the request that waits for them.
-func (r *Rates) TakeRetry(ctx context.Context, service string, call bool) bool {
-	taken, ok := r.take(ctx, r.RetryLimit(service), Want{RetryOf: service, Spare: !call})
+// waits for one. Half of the budget is kept for the most urgent requests.
+func (r *Rates) TakeRetry(ctx context.Context, service string, mostUrgent bool) bool {
+	taken, ok := r.take(ctx, r.RetryLimit(service), Want{RetryOf: service, Spare: !mostUrgent})
 	return ok && taken.Granted > 0
 }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -6,6 +6,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"net"
 	"sort"
@@ -26,6 +27,10 @@
 	teams    map[string]*Team
 	keys     map[rules.KeyDigest]*Team
 	services map[string]*Service
+	// urgency is the rank of the most urgent callers' route of each service, and
+	// mostUrgent that of all routes.
+	urgency    map[string]int
+	mostUrgent int
 }
 
 // Route sends the requests of a host and path prefix to services.
@@ -108,9 +113,13 @@
 		Version: p.Version, Limits: p.Limits,
 		hosts: make(map[string][]*Route), teams: make(map[string]*Team, len(p.Teams)),
 		keys: make(map[rules.KeyDigest]*Team, len(p.Keys)), services: make(map[string]*Service, len(p.Services)),
+		urgency: make(map[string]int), mostUrgent: math.MaxInt,
 	}
 	for _, r := range p.Routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+		if !r.Public {
+			c.rank(r)
+		}
 	}
 	for _, routes := range c.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -129,6 +138,26 @@
 	return c
 }
 
+// rank notes how urgent the route makes its services.
+func (c *Config) rank(r *Route) {
+	c.mostUrgent = min(c.mostUrgent, r.Priority)
+	for _, t := range r.Targets {
+		if known, ok := c.urgency[t.Service]; !ok || r.Priority < known {
+			c.urgency[t.Service] = r.Priority
+		}
+	}
+}
+
+// IsMostUrgent reports whether no route of callers is more urgent than this one.
+func (c *Config) IsMostUrgent(r *Route) bool { return r.Priority <= c.mostUrgent }
+
+// ServesMostUrgent reports whether a service runs requests of the most urgent
+// route, so that its calls to other services are as urgent.
+func (c *Config) ServesMostUrgent(service string) bool {
+	rank, ok := c.urgency[service]
+	return ok && rank <= c.mostUrgent
+}
+
 // Match returns the route of a host with the longest prefix of the path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/routing/config_test.go
+++ b/routing/config_test.go
@@ -49,3 +49,16 @@
 	require.Equal(t, 0, r.PriorityFor(c.Team("blue")), "the priority of the team goes first")
 	require.Equal(t, 2, r.PriorityFor(nil))
 }
+
+// Guards against a retry budget that less urgent requests and their calls use up.
+func TestUrgency(t *testing.T) {
+	browse := &Route{Name: "browse", Host: "h", Prefix: "/b/", Priority: 2, Targets: []Target{{Service: "catalogue", Weight: 1}}}
+	order := &Route{Name: "order", Host: "h", Prefix: "/o/", Priority: 1, Targets: []Target{{Service: "orders", Weight: 1}}}
+	call := &Route{Name: "call", Host: "h", Prefix: "/c/", Public: true, Targets: []Target{{Service: "stock", Weight: 1}}}
+	c := New(Parts{Routes: []*Route{browse, order, call}})
+	require.True(t, c.IsMostUrgent(order))
+	require.False(t, c.IsMostUrgent(browse))
+	require.True(t, c.ServesMostUrgent("orders"))
+	require.False(t, c.ServesMostUrgent("catalogue"))
+	require.False(t, c.ServesMostUrgent("stock"), "it serves calls only")
+}
