Change the followed reader sooner and watch the store less often elsewhere

Followers whose readers fell out avoided all of them for 4 s and watched the store themselves; nodes that cannot follow anyone watched it once a second. Ruled out: fewer readers in a zone (their loss would open the gates of all).

--- a/cmd/trefoildock/explain.go
+++ b/cmd/trefoildock/explain.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -88,12 +88,11 @@
 	if name == "-" {
 		return readLog(stdin)
 	}
-	f, err := os.Open(name)
+	text, err := readFile(name)
 	if err != nil {
-		return nil, errors.Wrap(err, "read a log")
+		return nil, err
 	}
-	defer f.Close()
-	lines, err := readLog(f)
+	lines, err := readLog(bytes.NewReader(text))
 	return lines, errors.Wrapf(err, "read log %s", name)
 }
 
--- a/cmd/trefoildock/platform_day_test.go
+++ b/cmd/trefoildock/platform_day_test.go
@@ -169,10 +169,10 @@
 	return d
 }
 
-// freePorts returns ports of an address that nobody listens on.
-func freePorts(t *testing.T, ip string, n int) []int {
+// freePorts returns ports of an address that nobody listens on. They are released
+// together, and after the address of the backend server was taken.
+func freePorts(t *testing.T, ip string, n int) (ports []int, release func()) {
 	t.Helper()
-	var ports []int
 	var open []net.Listener
 	for range n {
 		ln, err := net.Listen("tcp", ip+":0")
@@ -180,16 +180,17 @@
 		open = append(open, ln)
 		ports = append(ports, ln.Addr().(*net.TCPAddr).Port)
 	}
-	for _, ln := range open {
-		ln.Close()
+	return ports, func() {
+		for _, ln := range open {
+			ln.Close()
+		}
 	}
-	return ports
 }
 
 func newMachine(t *testing.T, store string, i int, service string) *machine {
 	t.Helper()
 	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, 10+i)
-	ports := freePorts(t, ip, 4)
+	ports, release := freePorts(t, ip, 4)
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	b := &dayBackend{
 		id: "i-" + strconv.Itoa(i), service: service, control: at(ports[2]), born: time.Now().UnixMilli(),
@@ -197,6 +198,7 @@
 	}
 	ln, err := net.Listen("tcp", ip+":0")
 	require.NoError(t, err)
+	release()
 	b.address = ln.Addr().String()
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(ln) }() // Ends with Close.
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -32,8 +32,11 @@
 	// It is a little above the usual age, confirmWait, so that a follower has a new
 	// configuration within 2 s also if its reader is cut off from the store.
 	followMaxAge = 1300 * time.Millisecond
-	// followPause is how long a node that did not help is not followed again.
-	followPause = 4 * time.Second
+	// minFollowPause and maxFollowPause bound the growing time for which a node that
+	// did not help is not followed. Readers that lose the store fall out together, and
+	// the next in rank can be followed as soon as it reads the store itself.
+	minFollowPause = 500 * time.Millisecond
+	maxFollowPause = 4 * time.Second
 	// askAfter is the age of the own confirmation from which any node is asked.
 	askAfter = 2 * time.Second
 	// askInterval is the time between two rounds of such questions, askPeers the
@@ -209,7 +212,7 @@
 // followLoop follows readers of the zone while this node is none. It closes the
 // gate of the store while it has someone to follow.
 func (s *State) followLoop(ctx context.Context) {
-	avoid := make(map[string]time.Time)
+	avoid := make(map[string]avoidance)
 	for ctx.Err() == nil {
 		m := s.chooseLeader(avoid)
 		if m == nil {
@@ -218,19 +221,27 @@
 			continue
 		}
 		if err := s.followOnce(ctx, m); err != nil {
-			avoid[m.Node] = time.Now().Add(followPause)
-			s.cfg.Logger.Log("event", "reader lost", "reader", m.Node, "err", err)
+			pause := min(max(2*avoid[m.Node].pause, minFollowPause), maxFollowPause)
+			avoid[m.Node] = avoidance{until: time.Now().Add(pause), pause: pause}
+			s.cfg.Logger.Log("event", "reader lost", "reader", m.Node, "pause", pause, "err", err)
 			continue
 		}
+		delete(avoid, m.Node)
 		s.gate.close()
 	}
 }
 
+// avoidance says until when a node is not followed.
+type avoidance struct {
+	until time.Time
+	pause time.Duration
+}
+
 // chooseLeader returns the node to follow, or nil to read the store.
-func (s *State) chooseLeader(avoid map[string]time.Time) *Member {
+func (s *State) chooseLeader(avoid map[string]avoidance) *Member {
 	now := time.Now()
 	for _, m := range s.leaders() {
-		if now.After(avoid[m.Node]) {
+		if now.After(avoid[m.Node].until) {
 			return m
 		}
 	}
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -22,6 +22,12 @@
 	// answer confirms the configuration; a shorter wait costs more calls, a longer
 	// one delays the discovery that the store cannot be reached.
 	confirmWait = time.Second
+	// otherConfirmWait replaces it at nodes that are no readers of their zone, since
+	// nobody follows them. It is below askAfter.
+	otherConfirmWait = 1800 * time.Millisecond
+	// startPause is the time after the first view of the operator's table before it
+	// is watched. A starting node usually follows a reader by then.
+	startPause = 700 * time.Millisecond
 	// memberWait is the same for the table of members, which needs no confirmation.
 	memberWait = 15 * time.Second
 	// memberPause joins changes of members that come close together, as when all
@@ -206,7 +212,11 @@
 	var after uint64
 	read := true
 	s.readWhileOpen(ctx, "operator", func(ctx context.Context) error {
-		changes, err := s.next(ctx, s.cfg.Operator, &read, after, confirmWait)
+		wait := confirmWait
+		if !s.isReader() {
+			wait = otherConfirmWait
+		}
+		changes, err := s.next(ctx, s.cfg.Operator, &read, after, wait)
 		if err != nil {
 			s.storeLost.Store(true)
 			select {
@@ -220,6 +230,9 @@
 		s.storeLost.Store(false)
 		at := s.storeTime.observe(changes.StoreTime)
 		s.ask(ctx, func() { s.applyOperator(changes, whole); s.confirm(at) })
+		if whole && !s.isReader() {
+			clock.Sleep(ctx, startPause)
+		}
 		return nil
 	})
 }
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -343,7 +343,7 @@
 	o := newOwner(t, nil)
 	o.Adopt(announcement(s))
 	for i := range 20 {
-		offer(o, request(fmt.Sprint(i)))
+		_, _, _ = offer(o, request(fmt.Sprint(i))) // Those beyond the rate are refused.
 	}
 	require.EqualValues(t, 4*1.5+5-rateMargin, s.got.Load())
 }
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -33,12 +33,13 @@
 const (
 	// BackendSound answers all requests.
 	BackendSound BackendFault = iota
-	// BackendFails answers 500, BackendSheds refuses before execution, BackendHangs
-	// answers after hangTime, and BackendDrops runs a request and resets the
-	// connection.
+	// BackendFails answers 500.
 	BackendFails
+	// BackendSheds refuses before execution.
 	BackendSheds
+	// BackendHangs answers after hangTime.
 	BackendHangs
+	// BackendDrops runs a request and resets the connection.
 	BackendDrops
 )
 
@@ -81,8 +82,10 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Backend{service: service, zone: zone, control: control, listener: ln, onRun: onRun,
-		slots: make(chan struct{}, backendSlots), stopped: make(chan struct{})}
+	b := &Backend{
+		service: service, zone: zone, control: control, listener: ln, onRun: onRun,
+		slots: make(chan struct{}, backendSlots), stopped: make(chan struct{}),
+	}
 	b.Restart(false)
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(ln) }() // Ends with Close.
@@ -244,8 +247,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	out := Execution{ID: id, Service: b.service, Zone: b.zone, Team: r.Header.Get("Tenant"), At: now,
-		Cold: b.coldFor(now) > 0, KeyPassed: r.Header.Get("Authorization") != ""}
+	out := Execution{
+		ID: id, Service: b.service, Zone: b.zone, Team: r.Header.Get("Tenant"), At: now,
+		Cold: b.coldFor(now) > 0, KeyPassed: r.Header.Get("Authorization") != "",
+	}
 	if !b.leftAt.IsZero() {
 		out.SinceLeft = now.Sub(b.leftAt)
 	}
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -124,8 +124,8 @@
 		c.violated("evacuated", "request %s reached zone %s %s after its evacuation", r.ID, r.Zone, r.At.Sub(at))
 	}
 	if r.Cold {
-		runs := append(c.coldRuns[b], r.At)
-		c.coldRuns[b] = runs
+		c.coldRuns[b] = append(c.coldRuns[b], r.At)
+		runs := c.coldRuns[b]
 		limit := int(coldRate*coldOver + coldSlack)
 		if n := len(runs) - limit - 1; n >= 0 && r.At.Sub(runs[n]) < time.Second && s.at.After(runs[n]) {
 			c.violated("cold", "%d requests within %s at a cold backend server", limit+1, r.At.Sub(runs[n]))
@@ -138,8 +138,8 @@
 
 // checkRate checks the executions of a team within a window. c.mu is held.
 func (c *checks) checkRate(r Execution) {
-	runs := append(c.teamRuns[r.Team], r.At)
-	c.teamRuns[r.Team] = runs
+	c.teamRuns[r.Team] = append(c.teamRuns[r.Team], r.At)
+	runs := c.teamRuns[r.Team]
 	limit := int((teamRate*rateWindow.Seconds()+teamBurst)*(1+rateOver) + rateSlack)
 	n := len(runs) - limit - 1
 	if n >= 0 && r.At.Sub(runs[n]) < rateWindow && c.sent[r.ID].at.After(runs[n]) {
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -28,18 +28,18 @@
 func main() {
 	var o options
 	kong.Parse(&o, kong.Description("Runs the shipped binary as processes on loopback through random faults and checks its promises."))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	if o.Seed == 0 {
 		o.Seed = uint64(time.Now().Unix())
 	}
-	if o.run(ctx) > 0 {
+	if o.run() > 0 {
 		os.Exit(1)
 	}
 }
 
 // run runs all seeds and returns how many broke a promise.
-func (o *options) run(ctx context.Context) (failed int) {
+func (o *options) run() (failed int) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	for seed := o.Seed; seed < o.Seed+uint64(o.Seeds) && ctx.Err() == nil; seed++ {
 		dir := filepath.Join(o.Dir, fmt.Sprint(seed))
 		c := soak.Config{Binary: o.Binary, Dir: dir, Seed: seed, Machines: o.Machines, Length: o.Length}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -51,7 +51,6 @@
 	process     *exec.Cmd
 	incarnation int
 	stopping    bool
-	down        bool
 	done        sync.WaitGroup
 }
 
@@ -114,26 +113,37 @@
 	d.storeServer.Close()
 }
 
-func freePorts(ip string, n int) ([]int, error) {
-	var ports []int
+// reservePorts holds free ports of an address until release is called, so that no
+// other listener of the machine takes them.
+func reservePorts(ip string, n int) (ports []int, release func(), err error) {
+	var held []net.Listener
+	release = func() {
+		for _, ln := range held {
+			ln.Close()
+		}
+	}
 	for range n {
 		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
-			return nil, err
+			release()
+			return nil, nil, err
 		}
-		defer ln.Close()
+		held = append(held, ln)
 		ports = append(ports, ln.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return ports, release, nil
 }
 
 func (d *deployment) newMachine(i int) (*machine, error) {
-	m := &machine{name: fmt.Sprintf("m%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%250, os.Getpid()/250%250, 10+i),
-		zone: zones[i%len(zones)], service: []string{"shop", "orders"}[i/len(zones)%2]}
-	ports, err := freePorts(m.ip, 5)
+	m := &machine{
+		name: fmt.Sprintf("m%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%250, os.Getpid()/250%250, 10+i),
+		zone: zones[i%len(zones)], service: []string{"shop", "orders"}[i/len(zones)%2],
+	}
+	ports, release, err := reservePorts(m.ip, 5)
 	if err != nil {
 		return nil, errors.Wrap(err, "ports of a machine")
 	}
+	defer release()
 	at := func(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
 	control := at(ports[2])
 	m.callers, m.ready, m.metrics = at(ports[0]), at(ports[1]), strconv.Itoa(ports[4])
@@ -194,7 +204,7 @@
 	process := m.process
 	m.done.Go(func() {
 		_ = process.Wait() // Its end is expected, however it comes.
-		out.Close()
+		_ = out.Close()    // The process has written all that it could.
 		m.mu.Lock()
 		stopping := m.stopping
 		m.mu.Unlock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,9 +17,9 @@
 	PathSound PathFault = iota
 	// PathSlow delays each read by pathDelay.
 	PathSlow
-	// PathDeaf drops the bytes towards the target, PathMute those from it. Both
-	// leave connections open.
+	// PathDeaf drops the bytes towards the target and leaves connections open.
 	PathDeaf
+	// PathMute does so with the bytes from the target.
 	PathMute
 	// PathSilent drops all bytes.
 	PathSilent
@@ -121,12 +121,12 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			switch f := PathFault(p.fault.Load()); {
-			case f == lossy || f == PathSilent:
+			switch PathFault(p.fault.Load()) {
+			case lossy, PathSilent:
 				// A stream that lost bytes must not go on with later ones.
 				_, _ = io.Copy(io.Discard, from) // Until the end of the connection.
 				return
-			case f == PathSlow:
+			case PathSlow:
 				time.Sleep(pathDelay)
 			}
 			if _, err := to.Write(buf[:n]); err != nil {
