Save up 1.3 retries at a node and give out the rest of the slack at the home

A node that may save up one retry loses the part of a request's credit beyond it (0.14 of 0.19 in six). Ruled out: attempts per request (failed after the first), the deadline of calls. Change: a node saves up 1.3; the home gives out 0.95 of the slack less what the nodes can have saved, at least a fifth.

--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -7,6 +7,7 @@
 
 	"trefoildock.example/mesh/h1"
 	"trefoildock.example/mesh/owner"
+	"trefoildock.example/mesh/quota"
 	"trefoildock.example/retry"
 	"trefoildock.example/verdict"
 )
@@ -25,9 +26,6 @@
 	// budgetShare is the part of the retries allowed per request that a node uses,
 	// as the requests of a window are not spread evenly.
 	budgetShare = 0.95
-	// maxSavedRetries bounds what a node saves up. Beyond it, retries are taken from
-	// the fleet's slack at the home of the rates.
-	maxSavedRetries = 1.0
 )
 
 // outcome is the end of one attempt.
@@ -183,7 +181,7 @@
 	defer e.mu.Unlock()
 	b := e.budgets[q.service]
 	if b == nil {
-		b = retry.NewBudgetOf(time.Now(), retry.Credits{PerRequest: budgetShare * e.cfg.Bounds.RetryRatio, Max: maxSavedRetries})
+		b = retry.NewBudgetOf(time.Now(), retry.Credits{PerRequest: budgetShare * e.cfg.Bounds.RetryRatio, Max: quota.SavedRetries})
 		e.budgets[q.service] = b
 	}
 	b.Request(time.Now())
--- a/mesh/quota/ledger.go
+++ b/mesh/quota/ledger.go
@@ -77,15 +77,22 @@
 	return b
 }
 
-// retryShare is the part of the fleet's slack for retries that the home gives
-// out. The rest covers retries that the nodes earn by their own requests.
-const retryShare = 0.6
+const (
+	// SavedRetries is the number of retries of a service that a node may save up. It
+	// exceeds 1, so that the credit of the request that completes a retry is not lost.
+	SavedRetries = 1.3
+	// slackShare is the part of the fleet's slack for retries that is given out or
+	// saved up, and minHomeShare the least part that the home gives out.
+	slackShare   = 0.95
+	minHomeShare = 0.2
+)
 
 // RetryLimit returns the limit of the retries of a service that the home gives
-// out, beyond those that the nodes earn by their own requests. Within any window
-// it allows burst and rate times window, which together are its share of slack.
-func RetryLimit(service string, slack float64, window time.Duration) *routing.Team {
-	part := retryShare * slack
+// out, beyond those that the nodes earn by their own requests: what the nodes
+// cannot have saved up of the slack. Within any window it allows burst and rate
+// times window, which together are its part.
+func RetryLimit(service string, slack float64, window time.Duration, nodes int) *routing.Team {
+	part := max(slackShare*slack-SavedRetries*float64(nodes), minHomeShare*slack)
 	return &routing.Team{Name: "retries of " + service, Burst: part / 3, Rate: part * 2 / 3 / max(window.Seconds(), 1)}
 }
 
