--- a/cmd/trefoildock/metrics_page_test.go
+++ b/cmd/trefoildock/metrics_page_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/go-kit/log"
@@ -10,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoildock.example/configstore"
+	"trefoildock.example/mesh/entry"
+	"trefoildock.example/mesh/owner"
 	"trefoildock.example/node"
 	"trefoildock.example/platform/memory"
 	"trefoildock.example/settings"
@@ -36,6 +39,19 @@
 	require.ElementsMatch(t, registered, firstGroups(t, "../../docs/metrics.md", "(?m)^\\| `([^`]+)` \\|"))
 }
 
+// Guards against a metric of a node on the users' platform that the operations
+// page does not explain, and against one that no longer exists.
+func TestOperationsPageHasTheMetrics(t *testing.T) {
+	registry := metrics.NewRegistry()
+	entry.NewMetrics(registry)
+	owner.NewMetrics(registry)
+	registered := []string{"trefoildock_store_malformed"}
+	registry.Each(func(name string, _ any) {
+		registered = append(registered, "trefoildock_"+strings.ReplaceAll(name, ".", "_"))
+	})
+	require.ElementsMatch(t, registered, firstGroups(t, "../../docs/OPERATIONS.md", "(?m)^\\| `(trefoildock_[^`]+)` \\|"))
+}
+
 // firstGroups returns the first group of each match in a file.
 func firstGroups(t *testing.T, file, pattern string) []string {
 	t.Helper()
