Look for the store often while no other node is known

Cause: a node that was started while the store is away knows no members, so it is no reader and backed off to 4 s; its backend server would be unknown for up to 4 s after the return of the store, where 2 s are asked for. Found by reading. Ruled out: more tries at all nodes (the calls of a store that is away are priced). Change: the longer pause holds only once the members are known.

--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -333,3 +333,15 @@
 		eventually(t, func() bool { return version(s) == 2 }, "new version")
 	}
 }
+
+// Guards against a node that was started while the store is away and that looks
+// for it as rarely as one that can ask others.
+func TestNewNodeLooksForTheStoreOften(t *testing.T) {
+	n := newNodes(t)
+	n.store.SetFaults(rowstore.Faults{Busy: true})
+	n.add("a")
+	time.Sleep(6 * time.Second)
+	// Reads of the operator's table at 0, 0.1, 0.3, 0.7 and 1.5 s and then every 0.8 s;
+	// with maxOtherRetry there are 6.
+	require.GreaterOrEqual(t, n.store.Calls("/v1/rows-get"), 9)
+}
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -36,8 +36,9 @@
 	// minRetry and maxRetry bound the time between two tries to reach the store.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
-	// maxOtherRetry replaces maxRetry at nodes that are no readers of their zone.
-	// While the store is away, they learn of its return from the readers.
+	// maxOtherRetry replaces maxRetry at nodes that know the members and are no
+	// readers of their zone. While the store is away, they learn of its return from
+	// the readers.
 	maxOtherRetry = 4 * time.Second
 	// publishTimeout bounds one write of the own row.
 	publishTimeout = 1700 * time.Millisecond
@@ -314,7 +315,7 @@
 		}
 		clock.Sleep(ctx, wait)
 		limit := maxRetry
-		if !s.isReader() {
+		if s.known.Load() && !s.isReader() {
 			limit = maxOtherRetry
 		}
 		wait = min(2*wait, limit)
