--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -76,6 +76,9 @@
 	share := d.recover(ctx)
 	stop()
 	wg.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(err, "the run was interrupted")
+	}
 	out := &Report{Violations: d.checks.finish(), Answers: d.checks.counts, AfterFaults: share}
 	if share < minServed {
 		out.Violations = append(out.Violations, fmt.Sprintf("recovery: %.2f of the requests served %s after the last fault", share, recovery))
