Wait for the slot before each request of TestDeadline

Cause: a starting owner has one slot. After a 504 the owner may still hold it, because the entry and the owner end a request independently. A request that arrives then is refused at once with 503 "deadline", as its expected wait exceeds its time. The test now waits for the free slot before each request; the expected answers are the same. Ruled out: a lost refusal or a wrong verdict, the request had not run.

--- a/node/dispatch_test.go
+++ b/node/dispatch_test.go
@@ -206,6 +206,9 @@
 	f := newFleet(t, backend)
 	forEachProtocol(t, func(t *testing.T, c *http.Client) {
 		for _, path := range []string{"/brief/x", "/once/x"} {
+			// A starting owner has one slot. While the request before still holds it, the
+			// next one is refused at once, see TestRequestThatCannotMeetItsDeadline.
+			eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the slot is released")
 			r, err := f.send(c, http.MethodPost, path, strings.NewReader("order"), "Request-Timeout", "0.2")
 			require.NoError(t, err)
 			requireProblem(t, r, 504, verdict.MayHaveRun, "deadline-exceeded")
@@ -214,6 +217,23 @@
 	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the slots are released")
 }
 
+// Guards against a request that waits for a slot until its deadline although the
+// requests ahead take longer than that. The refusal states that it has not run.
+func TestRequestThatCannotMeetItsDeadline(t *testing.T) {
+	backend := newHandlerBackend(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	f := newFleet(t, backend)
+	c := client(t, false)
+	first, err := f.send(c, http.MethodPost, "/once/x", strings.NewReader("order"), "Request-Timeout", "0.3")
+	require.NoError(t, err)
+	requireProblem(t, first, 504, verdict.MayHaveRun, "deadline-exceeded")
+	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the slot is released")
+	go func() { _, _ = f.send(c, http.MethodPost, "/once/x", strings.NewReader("order"), "Request-Timeout", "5") }()
+	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 1 }, "the slot is taken")
+	r, err := f.send(c, http.MethodPost, "/once/x", strings.NewReader("order"), "Request-Timeout", "0.2")
+	require.NoError(t, err)
+	requireProblem(t, r, 503, verdict.NotRun, "deadline")
+}
+
 // TestHedge checks that the canceled attempt of a hedged request releases its
 // slot, and that a non-idempotent request is not hedged.
 func TestHedge(t *testing.T) {
