Nodes of a zone find the one that reads the store, instead of all reading it

Change: a node reads the members and nothing else before it has looked for a node to follow. Responses name the node that reads the store; a node without a source probes those that rank next, and takes over itself only after a delay by its rank. At the first start of a deployment nodes wait 1.8 s, so that one read returns all rows. The lease of the rates is read only by nodes that read the store; a restarted coordinator takes its lease back when others report it. A failed watch of the members restarts that of the operator's table, so that one loop retries a store that is away: this was the cause of TestRetriesDuringStoreOutageAreBounded (traced: an outage that begins during memberCoalesceDelay made each node retry the members up to four times until its open watch of the operator's table ended). A node that followed others did not hold requests of its own followers once its last call of the store had been canceled; it does now. Before: TestRestartOfAllNodesCostsFewStoreCalls 97 calls where 60 are allowed; TestZoneWhoseReadersLoseTheStore failed (confirmation 3.4 s old).

--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -110,6 +110,9 @@
 
 // Watch implements Table.
 func (t *partitionedTable) Watch(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error) {
+	if !t.reachable() {
+		return platform.Changes{}, errCutOff
+	}
 	c, err := t.Rows.Watch(ctx, after, wait)
 	if !t.reachable() {
 		return platform.Changes{}, errCutOff
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -1,17 +1,13 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
-	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"trefoildock.example/mesh/clock"
 	"trefoildock.example/platform"
 )
@@ -21,9 +17,6 @@
 	// store. The other nodes follow one of them, which costs no store calls and no
 	// traffic between zones. Two readers tolerate the loss of one.
 	readersPerZone = 2
-	// maxFollowSources is the number of nodes that a follower tries before it reads
-	// the store itself.
-	maxFollowSources = 4
 	// followWait is how long a followed node holds a request open until something changes.
 	followWait = time.Second
 	// followTimeout bounds one follow request in addition to its wait.
@@ -33,12 +26,6 @@
 	// maximum age while the store responds, so that a follower receives a new
 	// configuration within 2 s even if its reader is cut off from the store.
 	followMaxAge = 1300 * time.Millisecond
-	// minFollowBackoff and maxFollowBackoff bound the exponential backoff during which
-	// a node that failed or was stale is not followed. Readers that lose the store
-	// together are all excluded, and the next node in rank can be followed as soon as
-	// it reads the store itself.
-	minFollowBackoff = 500 * time.Millisecond
-	maxFollowBackoff = 4 * time.Second
 	// peerPollAge is the age of this node's confirmation from which it polls nodes of
 	// any zone.
 	peerPollAge = 2 * time.Second
@@ -66,6 +53,9 @@
 	Full    bool
 	// Coordinator is the coordinator of the rate limits; zero if it is unknown.
 	Coordinator Peer
+	// Reader is a node that reads the store: the queried node, or the one that it
+	// follows; zero if it can name none.
+	Reader Peer
 }
 
 // FollowRequest holds the revisions of the requesting node.
@@ -76,6 +66,8 @@
 	CoordinatorAddress, UnreachableAddress string
 	// Wait is how long the queried node may wait for a change before it responds.
 	Wait time.Duration
+	// Probe requests only the age of the confirmation and the reader.
+	Probe bool
 }
 
 // HandleFollow returns the changes since the revisions of another node, after
@@ -87,7 +79,7 @@
 		s.cfg.OnCoordinatorUnreachable(req.UnreachableAddress)
 	}
 	age, ok := s.ConfirmationAge()
-	if wait := min(req.Wait, followWait, followMaxAge-age); ok && wait > 0 && !s.storeUnavailable.Load() {
+	if wait := min(req.Wait, followWait, followMaxAge-age); ok && wait > 0 && !(s.ReadsStore() && s.storeUnavailable.Load()) {
 		ctx, cancel := context.WithTimeout(ctx, wait)
 		s.awaitChange(ctx, req)
 		cancel()
@@ -96,7 +88,10 @@
 	if !ok {
 		return FollowResponse{}, false
 	}
-	response := FollowResponse{Age: age, Waited: clock.Now().Sub(received)}
+	response := FollowResponse{Age: age, Waited: clock.Now().Sub(received), Reader: s.knownReader()}
+	if req.Probe {
+		return response, true
+	}
 	s.runAndWait(ctx, func() {
 		if s.config != nil {
 			response.ConfigVersion = s.config.Version
@@ -176,105 +171,6 @@
 	return true
 }
 
-// rankInZone orders the nodes of this node's zone by a hash, so that all nodes of
-// the zone select the same readers. The result contains this node even while its
-// row is not in the view.
-func (s *State) rankInZone() []*Member {
-	out := []*Member{&s.cfg.Self}
-	for name, m := range s.View().Nodes {
-		if m.Zone == s.cfg.Self.Zone && name != s.cfg.Self.Node {
-			out = append(out, m)
-		}
-	}
-	slices.SortFunc(out, func(a, b *Member) int {
-		if c := cmp.Compare(hashOf(a.Node), hashOf(b.Node)); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Node, b.Node)
-	})
-	return out
-}
-
-func hashOf(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name)) // Never fails.
-	return h.Sum64()
-}
-
-// followSources returns the nodes to follow, which rank first in the zone. It
-// returns none if this node is a reader itself.
-func (s *State) followSources() []*Member {
-	ranked := s.rankInZone()
-	own := s.ownRank(ranked)
-	if own < readersPerZone {
-		return nil
-	}
-	return ranked[:min(maxFollowSources, own)]
-}
-
-func (s *State) ownRank(ranked []*Member) int {
-	return slices.IndexFunc(ranked, func(m *Member) bool { return m.Node == s.cfg.Self.Node })
-}
-
-// followLoop follows a node of the zone while this node is not a reader. The store
-// gate is closed while a node is followed, and open while none can be followed.
-func (s *State) followLoop(ctx context.Context) {
-	backoffs := make(map[string]followBackoff)
-	for ctx.Err() == nil {
-		m := s.chooseSource(backoffs)
-		if m == nil {
-			s.storeGate.open()
-			clock.Sleep(ctx, followWait)
-			continue
-		}
-		if err := s.followOnce(ctx, m); err != nil {
-			delay := min(max(2*backoffs[m.Node].delay, minFollowBackoff), maxFollowBackoff)
-			backoffs[m.Node] = followBackoff{until: time.Now().Add(delay), delay: delay}
-			s.cfg.Logger.Log("event", "reader lost", "reader", m.Node, "pause", delay, "err", err)
-			continue
-		}
-		delete(backoffs, m.Node)
-		s.storeGate.close()
-	}
-}
-
-// followBackoff is the time until which a node is not followed, with the delay that led
-// to it.
-type followBackoff struct {
-	until time.Time
-	delay time.Duration
-}
-
-// chooseSource returns the node to follow, or nil if this node must read the store
-// itself.
-func (s *State) chooseSource(backoffs map[string]followBackoff) *Member {
-	now := time.Now()
-	for _, m := range s.followSources() {
-		if now.After(backoffs[m.Node].until) {
-			return m
-		}
-	}
-	return nil
-}
-
-// followOnce sends one follow request to a node and applies the response.
-func (s *State) followOnce(ctx context.Context, m *Member) error {
-	req := s.followRequest()
-	req.Wait = followWait
-	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
-	defer cancel()
-	sent := clock.Now()
-	response, err := s.cfg.QueryPeer(ctx, m.Address, req)
-	if err != nil {
-		return err
-	}
-	if response.Age >= followMaxAge {
-		return errors.Newf("last confirmation of the followed node is %s old", response.Age)
-	}
-	s.applyResponse(ctx, response, sent)
-	return nil
-}
-
 // pollPeersWhileStale polls nodes of any zone while this node's confirmation is
 // stale. The store may reject the calls of some VMs and serve the others.
 func (s *State) pollPeersWhileStale(ctx context.Context) {
@@ -310,5 +206,6 @@
 	if err != nil {
 		return // The next poll queries other nodes.
 	}
+	s.offerHint(response.Reader, response.Age)
 	s.applyResponse(ctx, response, sent)
 }
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -40,9 +40,10 @@
 // PublishNow writes the row of this node at once if it is outdated.
 func (s *State) PublishNow(ctx context.Context) error { return s.publishOwnRow(ctx) }
 
-// ownRow returns the row of this node, and whether the members table was loaded.
+// ownRow returns the row of this node, and whether its state in the store is known. At
+// the first start of the deployment the row does not exist before this node writes it.
 func (s *State) ownRow(ctx context.Context) (m *Member, ready bool) {
-	s.runAndWait(ctx, func() { m, ready = s.members[s.cfg.Self.Node], s.table.loaded })
+	s.runAndWait(ctx, func() { m, ready = s.members[s.cfg.Self.Node], s.table.loaded || s.cfg.FirstStart })
 	return m, ready
 }
 
@@ -90,9 +91,8 @@
 	s.storeClock.observe(written.StoreTime)
 	row := platform.Change{Row: platform.Row{Key: key, Value: value, Revision: written.Revision}, Removed: value == nil}
 	s.runAndWait(ctx, func() {
-		// The revision of the table stays, because other rows may have changed up to the
-		// revision of the write.
-		s.applyRows(s.table.merge(platform.Changes{Rows: []platform.Change{row}, Revision: s.table.revision}, false))
+		s.table.put(row)
+		s.applyRows([]platform.Change{row})
 		s.publishView()
 	})
 	return nil
--- a/mesh/fleet/rows.go
+++ b/mesh/fleet/rows.go
@@ -44,6 +44,17 @@
 	return newer
 }
 
+// put applies a row that this node has written. The copy may still lack other changes up
+// to its revision.
+func (t *rowTable) put(row platform.Change) {
+	if t.rows == nil {
+		t.rows = make(map[string]platform.Change)
+	}
+	if current, ok := t.rows[row.Key]; !ok || current.Revision < row.Revision {
+		t.rows[row.Key] = row
+	}
+}
+
 // markMissingRemoved marks the rows that are missing from a newer snapshot as removed.
 func (t *rowTable) markMissingRemoved(c platform.Changes) (removed []platform.Change) {
 	present := make(map[string]bool, len(c.Rows))
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -22,13 +22,10 @@
 	// response confirms the configuration. A shorter wait causes more calls; a longer
 	// one delays the detection of an unreachable store.
 	operatorWatchWait = time.Second
-	// nonReaderWatchWait replaces operatorWatchWait on nodes that are not readers of
-	// their zone, because no node follows them. It is below peerPollAge.
-	nonReaderWatchWait = 1800 * time.Millisecond
-	// startupWatchDelay is the time between a full read of the operator's table and
-	// its next watch on nodes that are not readers. Within this time a starting node
-	// normally begins to follow a reader.
-	startupWatchDelay = 700 * time.Millisecond
+	// firstStartDelay is the time from the first start of the deployment until a node
+	// reads the members. The nodes start together and write their rows at the first
+	// heartbeat of their backend servers, so that one read then returns nearly all rows.
+	firstStartDelay = 1800 * time.Millisecond
 	// memberWatchWait is how long a watch of the members table stays open. It is longer,
 	// because this table needs no regular confirmation.
 	memberWatchWait = 15 * time.Second
@@ -59,6 +56,8 @@
 type Config struct {
 	// Self is the member record without a backend server.
 	Self Member
+	// FirstStart means that all nodes of the deployment start for the first time.
+	FirstStart bool
 	// Operator is the operator's table and Members the table of the nodes.
 	Operator, Members Table
 	// Backend returns the backend server to publish, or nil if there is none. While its
@@ -100,6 +99,11 @@
 	// stopped is closed when the event loop has ended.
 	stopped chan struct{}
 
+	// followed is the node that this node follows; nil while it reads the store.
+	followed atomic.Pointer[Peer]
+	// hint is a node of the zone that this node should follow next; nil if there is none.
+	hint atomic.Pointer[Member]
+
 	// Only the event loop accesses the fields below.
 	config           *routing.Config
 	document         []byte
@@ -117,6 +121,7 @@
 		cfg: cfg, tasks: make(chan func(), 64), publishSignal: make(chan struct{}, 1), stopped: make(chan struct{}),
 		evacuatedZones: make(map[string]bool), members: make(map[string]*Member), crashes: make(map[string]crashRecord),
 	}
+	s.storeGate.close() // Until the node finds that it must read the store itself.
 	s.view.Store(emptyView())
 	changed := make(chan struct{})
 	s.changed.Store(&changed)
@@ -153,11 +158,6 @@
 // ReadsStore reports whether this node reads the store itself.
 func (s *State) ReadsStore() bool { return s.storeGate.isOpen() }
 
-// isReader reports whether this node watches the store for its zone.
-func (s *State) isReader() bool {
-	return s.membersLoaded.Load() && s.ownRank(s.rankInZone()) < readersPerZone
-}
-
 // Publish signals that the backend server to publish has changed.
 func (s *State) Publish() {
 	select {
@@ -169,9 +169,9 @@
 // Run maintains the state until ctx ends. It runs the event loop.
 func (s *State) Run(ctx context.Context) {
 	defer close(s.stopped)
-	refresh := make(chan struct{}, 1)
-	go s.watchOperator(ctx, refresh)
-	go s.watchMembers(ctx, refresh)
+	refreshOperator, refreshMembers := make(chan struct{}, 1), make(chan struct{}, 1)
+	go s.watchOperator(ctx, refreshMembers, refreshOperator)
+	go s.watchMembers(ctx, refreshMembers, refreshOperator)
 	go s.publishLoop(ctx)
 	go s.followLoop(ctx)
 	go s.pollPeersWhileStale(ctx)
@@ -217,21 +217,19 @@
 
 // watchOperator watches the operator's table. After a failure it cancels the pending
 // watch of watchMembers, because its connection may have failed without an error.
-func (s *State) watchOperator(ctx context.Context, refresh chan<- struct{}) {
+func (s *State) watchOperator(ctx context.Context, refreshMembers chan<- struct{}, refreshOperator <-chan struct{}) {
 	var after uint64
 	reload := true
 	s.retryWhileOpen(ctx, "operator", func(ctx context.Context) error {
-		wait := operatorWatchWait
-		if !s.isReader() {
-			wait = nonReaderWatchWait
+		callCtx, cancel := cancelOn(ctx, refreshOperator)
+		defer cancel()
+		changes, err := s.readOrWatch(callCtx, s.cfg.Operator, &reload, after, operatorWatchWait)
+		if err != nil && callCtx.Err() != nil {
+			return nil // Canceled by watchMembers or because this node follows another one.
 		}
-		changes, err := s.readOrWatch(ctx, s.cfg.Operator, &reload, after, wait)
 		if err != nil {
 			s.storeUnavailable.Store(true)
-			select {
-			case refresh <- struct{}{}:
-			default:
-			}
+			signal(refreshMembers)
 			return err
 		}
 		full := reload
@@ -239,42 +237,77 @@
 		s.storeUnavailable.Store(false)
 		at := s.storeClock.observe(changes.StoreTime)
 		s.runAndWait(ctx, func() { s.applyOperator(changes, full); s.confirm(at) })
-		if full && !s.isReader() {
-			clock.Sleep(ctx, startupWatchDelay)
-		}
 		return nil
 	})
 }
 
+// cancelOn returns a context that ends on the next signal. It ignores a signal that is
+// pending, because the call that follows is newer than its cause.
+func cancelOn(ctx context.Context, signals <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	select {
+	case <-signals:
+	default:
+	}
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// signal sends without blocking. A signal that is already pending covers this one.
+func signal(signals chan<- struct{}) {
+	select {
+	case signals <- struct{}{}:
+	default:
+	}
+}
+
 // errOperatorWatchFailed delays the watch of the members table until a call for the
 // operator's table succeeds.
 var errOperatorWatchFailed = errors.New("the last call for the operator's table failed")
 
-// watchMembers watches the members table.
-func (s *State) watchMembers(ctx context.Context, refresh <-chan struct{}) {
+// watchMembers reads the members table once and then watches it while the store gate is
+// open. After a failure it restarts the watch of the operator's table, so that one loop
+// detects and retries a store that is unavailable.
+func (s *State) watchMembers(ctx context.Context, refreshMembers <-chan struct{}, refreshOperator chan<- struct{}) {
+	if s.cfg.FirstStart {
+		clock.Sleep(ctx, firstStartDelay)
+	}
 	var after uint64
-	reload := true
+	s.retry(ctx, "members", func(ctx context.Context) error {
+		changes, err := s.cfg.Members.Read(ctx)
+		if err == nil {
+			after = changes.Revision
+			s.storeClock.observe(changes.StoreTime)
+			s.runAndWait(ctx, func() { s.applyMembers(changes, true) })
+			s.membersLoaded.Store(true)
+		}
+		return err
+	})
+	reload := false
 	s.retryWhileOpen(ctx, "members", func(ctx context.Context) error {
 		if s.storeUnavailable.Load() {
 			return errOperatorWatchFailed
 		}
-		callCtx, cancel := context.WithCancel(ctx)
+		callCtx, cancel := cancelOn(ctx, refreshMembers)
 		defer cancel()
-		go func() {
-			select {
-			case <-refresh:
-				cancel()
-			case <-callCtx.Done():
-			}
-		}()
 		changes, err := s.readOrWatch(callCtx, s.cfg.Members, &reload, after, memberWatchWait)
+		if err != nil && callCtx.Err() != nil {
+			return errOperatorWatchFailed // Canceled by watchOperator or because this node follows another one.
+		}
 		if err != nil {
+			signal(refreshOperator)
 			return err
 		}
 		full := reload
 		after, reload = changes.Revision, false
 		s.storeClock.observe(changes.StoreTime)
-		s.enqueue(ctx, func() { s.applyMembers(changes, full); s.membersLoaded.Store(true) })
+		s.enqueue(ctx, func() { s.applyMembers(changes, full) })
 		if len(changes.Rows) > 0 || full {
 			clock.Sleep(ctx, memberCoalesceDelay)
 		}
@@ -298,37 +331,63 @@
 
 // retryWhileOpen calls f while the store gate is open, with exponential backoff after
 // failures, and logs when the store becomes unreachable and reachable again.
-func (s *State) retryWhileOpen(ctx context.Context, name string, f func(context.Context) error) {
-	delay := minRetryDelay
-	var lostAt time.Time
+func (s *State) retryWhileOpen(ctx context.Context, table string, f func(context.Context) error) {
+	b := storeBackoff{state: s, table: table}
 	for ctx.Err() == nil {
 		s.storeGate.wait(ctx)
 		callCtx, cancel := s.storeGate.whileOpen(ctx)
 		err := f(callCtx)
 		closed := callCtx.Err() != nil
 		cancel()
-		switch {
-		case closed && ctx.Err() == nil:
-			continue // The gate was closed, because this node follows another node.
-		case err == nil:
-			if !lostAt.IsZero() {
-				s.cfg.Logger.Log("event", "store regained", "table", name, "after", time.Since(lostAt))
-			}
-			delay, lostAt = minRetryDelay, time.Time{}
-			continue
-		case ctx.Err() != nil:
+		if !closed { // Otherwise this node follows another one, or ctx has ended.
+			b.after(ctx, err)
+		}
+	}
+}
+
+// retry calls f until it succeeds or ctx ends, with the backoff of retryWhileOpen.
+func (s *State) retry(ctx context.Context, table string, f func(context.Context) error) {
+	b := storeBackoff{state: s, table: table}
+	for ctx.Err() == nil {
+		err := f(ctx)
+		if err == nil {
 			return
-		case lostAt.IsZero():
-			lostAt = time.Now()
-			s.cfg.Logger.Log("event", "store lost", "table", name, "err", err)
 		}
-		clock.Sleep(ctx, delay)
-		limit := maxRetryDelay
-		if s.membersLoaded.Load() && !s.isReader() {
-			limit = maxNonReaderRetryDelay
+		b.after(ctx, err)
+	}
+}
+
+// storeBackoff is the exponential backoff of the calls for one table.
+type storeBackoff struct {
+	state  *State
+	table  string
+	delay  time.Duration
+	lostAt time.Time
+}
+
+// after logs a change of the state of the table and waits if the last call failed.
+func (b *storeBackoff) after(ctx context.Context, err error) {
+	logger := b.state.cfg.Logger
+	if err == nil {
+		if !b.lostAt.IsZero() {
+			logger.Log("event", "store regained", "table", b.table, "after", time.Since(b.lostAt))
 		}
-		delay = min(2*delay, limit)
+		b.delay, b.lostAt = 0, time.Time{}
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if b.lostAt.IsZero() {
+		b.lostAt = time.Now()
+		logger.Log("event", "store lost", "table", b.table, "err", err)
+	}
+	limit := maxRetryDelay
+	if b.state.membersLoaded.Load() && !b.state.isReader() {
+		limit = maxNonReaderRetryDelay
 	}
+	b.delay = min(max(2*b.delay, minRetryDelay), limit)
+	clock.Sleep(ctx, b.delay)
 }
 
 // applyOperator applies rows of the operator's table.
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -177,7 +177,7 @@
 func (n *Node) handleFollow(f *wire.Follow) *wire.FollowAnswer {
 	response, ok := n.fleet.HandleFollow(context.Background(), fleet.FollowRequest{
 		ConfigVersion: f.GetConfigVersion(), OperatorRevision: f.GetOperatorRevision(),
-		MembersRevision: f.GetMembersRevision(), CoordinatorAddress: f.GetHomeAddress(), UnreachableAddress: f.GetLostHome(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond,
+		MembersRevision: f.GetMembersRevision(), CoordinatorAddress: f.GetHomeAddress(), UnreachableAddress: f.GetLostHome(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond, Probe: f.GetProbe(),
 	})
 	if !ok {
 		return &wire.FollowAnswer{AgeUs: -1}
@@ -186,6 +186,7 @@
 		AgeUs: response.Age.Microseconds(), WaitedUs: response.Waited.Microseconds(), ConfigVersion: response.ConfigVersion, Document: response.Document,
 		OperatorRevision: response.OperatorRevision, ZonesOut: response.EvacuatedZones, MembersRevision: response.Members.Revision, Whole: response.Full,
 		HomeNode: response.Coordinator.Node, HomeAddress: response.Coordinator.Address,
+		ReaderNode: response.Reader.Node, ReaderAddress: response.Reader.Address,
 	}
 	for _, row := range response.Members.Rows {
 		out.Rows = append(out.Rows, &wire.StoredRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Removed: row.Removed})
@@ -197,7 +198,7 @@
 func (n *Node) queryPeer(ctx context.Context, address string, req fleet.FollowRequest) (fleet.FollowResponse, error) {
 	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_Follow{Follow: &wire.Follow{
 		ConfigVersion: req.ConfigVersion, OperatorRevision: req.OperatorRevision,
-		MembersRevision: req.MembersRevision, HomeAddress: req.CoordinatorAddress, LostHome: req.UnreachableAddress, WaitUs: req.Wait.Microseconds(),
+		MembersRevision: req.MembersRevision, HomeAddress: req.CoordinatorAddress, LostHome: req.UnreachableAddress, WaitUs: req.Wait.Microseconds(), Probe: req.Probe,
 	}}})
 	if err != nil {
 		return fleet.FollowResponse{}, err
@@ -210,6 +211,7 @@
 		Age: time.Duration(f.GetAgeUs()) * time.Microsecond, Waited: time.Duration(f.GetWaitedUs()) * time.Microsecond, ConfigVersion: f.GetConfigVersion(), Document: f.GetDocument(),
 		OperatorRevision: f.GetOperatorRevision(), EvacuatedZones: f.GetZonesOut(), Full: f.GetWhole(),
 		Coordinator: fleet.Peer{Node: f.GetHomeNode(), Address: f.GetHomeAddress()},
+		Reader:      fleet.Peer{Node: f.GetReaderNode(), Address: f.GetReaderAddress()},
 	}
 	response.Members.Revision = f.GetMembersRevision()
 	for _, row := range f.GetRows() {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -127,6 +127,7 @@
 			malformed.Inc(1)
 			n.logger.Log("event", "malformed content ignored", "what", what)
 		},
+		OnRowsCall: n.countStoreCall,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "create the client of the platform's store")
@@ -136,6 +137,15 @@
 	return n, nil
 }
 
+// countStoreCall counts a call of the store by table and operation.
+func (n *Node) countStoreCall(c platform.RowsCall) {
+	name := "store.calls." + c.Table + "." + c.Op
+	metrics.GetOrRegisterCounter(name, n.registry).Inc(1)
+	if c.Status >= http.StatusBadRequest || c.Status == 0 {
+		metrics.GetOrRegisterCounter(name+".failed", n.registry).Inc(1)
+	}
+}
+
 func (n *Node) build() {
 	s := n.settings
 	identity := link.Identity{Node: s.Node, Incarnation: n.incarnation, Cluster: cluster}
@@ -152,8 +162,8 @@
 		},
 	})
 	n.fleet = fleet.New(fleet.Config{
-		Self:     fleet.Member{Node: s.Node, Zone: s.Zone, Address: n.advertised, Incarnation: n.incarnation},
-		Operator: n.store.Rows(platform.OperatorTable), Members: n.newRelayedTable(memberTable),
+		Self:       fleet.Member{Node: s.Node, Zone: s.Zone, Address: n.advertised, Incarnation: n.incarnation},
+		FirstStart: s.FirstStart, Operator: n.store.Rows(platform.OperatorTable), Members: n.newRelayedTable(memberTable),
 		Backend: n.publishedBackend, QueryPeer: n.queryPeer,
 		OnCoordinator:      func(p fleet.Peer) { n.lease.ObserveCoordinator(quota.Peer(p)) },
 		UnreachableAddress: func() string { return n.lease.UnreachableAddress() },
--- a/mesh/quota/lease.go
+++ b/mesh/quota/lease.go
@@ -30,8 +30,9 @@
 	acquireInterval = 500 * time.Millisecond
 	// maxAcquireInterval bounds the backoff of acquireInterval while the store does not respond.
 	maxAcquireInterval = 2 * time.Second
-	// peerReportWait is how long a node that follows other nodes waits for them to
-	// report the coordinator before it reads the lease itself.
+	// peerReportWait is how long after its start, or after the loss of the coordinator, a
+	// node that does not read the store waits for other nodes to report the coordinator
+	// before it reads the lease itself.
 	peerReportWait = 3 * time.Second
 	// unreachablePeriod is how long reports of a coordinator that could not be reached are ignored.
 	unreachablePeriod = 1500 * time.Millisecond
@@ -89,10 +90,17 @@
 	// unreachable is the last coordinator that could not be reached, at unreachableAt.
 	unreachable   Peer
 	unreachableAt time.Time
+	startedAt     time.Time
+	// reportedAsCoordinator is set when another node reports this node as the coordinator
+	// although it holds no lease, as after a restart of its process.
+	reportedAsCoordinator bool
 }
 
 // Init initializes the manager. It must be called before Run.
-func (m *LeaseManager) Init() { m.wake = make(chan struct{}, 1) }
+func (m *LeaseManager) Init() {
+	m.wake = make(chan struct{}, 1)
+	m.startedAt = time.Now()
+}
 
 // Coordinator returns the coordinator, or false if it is unknown.
 func (m *LeaseManager) Coordinator() (Peer, bool) {
@@ -140,6 +148,9 @@
 // ObserveCoordinator records the coordinator that another node reported.
 func (m *LeaseManager) ObserveCoordinator(p Peer) {
 	m.mu.Lock()
+	if p == m.Self {
+		m.reportedAsCoordinator = m.buckets == nil
+	}
 	usable := m.buckets == nil && p != m.Self && (p != m.unreachable || time.Since(m.unreachableAt) > unreachablePeriod)
 	m.mu.Unlock()
 	if usable {
@@ -186,7 +197,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.unreachableAt) < peerReportWait
+	if m.reportedAsCoordinator {
+		m.reportedAsCoordinator = false
+		return false
+	}
+	return time.Since(m.unreachableAt) < peerReportWait || time.Since(m.startedAt) < peerReportWait
 }
 
 func (m *LeaseManager) sleepOrWake(ctx context.Context, d time.Duration, wakeable bool) {
--- a/mesh/quota/lease_test.go
+++ b/mesh/quota/lease_test.go
@@ -220,3 +220,19 @@
 	_, known = b.Coordinator()
 	require.True(t, known)
 }
+
+// Guards against a fleet that refuses requests after a restart of all nodes until the
+// lease of the coordinator expires, because the coordinator waits for other nodes to
+// report it.
+func TestRestartedCoordinatorTakesItsLeaseBack(t *testing.T) {
+	s := newTestStore(t)
+	require.NoError(t, s.manager("a").tryAcquire(t.Context()))
+	restarted := s.manager("a")
+	restarted.ReadsStore = func() bool { return false }
+	require.True(t, restarted.waitsForPeers(), "reading the lease at every start would cost the store a call for each node")
+	restarted.ObserveCoordinator(restarted.Self)
+	require.False(t, restarted.waitsForPeers())
+	require.NoError(t, restarted.tryAcquire(t.Context()))
+	require.NotNil(t, restarted.Buckets())
+	require.True(t, restarted.waitsForPeers(), "one report causes one read")
+}
