--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -78,6 +78,7 @@
 	if req.UnreachableAddress != "" && req.UnreachableAddress == s.View().Coordinator.Address {
 		s.cfg.OnCoordinatorUnreachable(req.UnreachableAddress)
 	}
+	s.awaitFirstConfirmation(ctx)
 	age, ok := s.ConfirmationAge()
 	if wait := min(req.Wait, followWait, followMaxAge-age); ok && wait > 0 && !(s.ReadsStore() && s.storeUnavailable.Load()) {
 		ctx, cancel := context.WithTimeout(ctx, wait)
@@ -106,6 +107,19 @@
 	return response, true
 }
 
+// firstConfirmationWait is how long a node that starts lets other nodes wait for its
+// first confirmation. It is below peerPollTimeout.
+const firstConfirmationWait = 250 * time.Millisecond
+
+// awaitFirstConfirmation waits until the store has confirmed the configuration once.
+func (s *State) awaitFirstConfirmation(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstConfirmationWait)
+	defer cancel()
+	for ctx.Err() == nil && s.confirmed.Load() == 0 {
+		clock.Sleep(ctx, firstConfirmationWait/25)
+	}
+}
+
 // awaitChange returns when this node has newer revisions or a newer coordinator than
 // those in req, or ctx ends.
 func (s *State) awaitChange(ctx context.Context, req FollowRequest) {
--- a/mesh/fleet/readers.go
+++ b/mesh/fleet/readers.go
@@ -20,7 +20,7 @@
 	randomSources = 2
 	// searchInterval is the time between two searches for a node to follow, and
 	// maxSearchInterval that after maxTakeoverDelay.
-	searchInterval    = 200 * time.Millisecond
+	searchInterval    = 100 * time.Millisecond
 	maxSearchInterval = 800 * time.Millisecond
 	// takeoverStep delays, by rank, the time at which a node that finds no source reads
 	// the store itself, up to maxTakeoverDelay. The nodes that rank next then serve the
@@ -48,7 +48,7 @@
 	for ctx.Err() == nil {
 		switch {
 		case !s.membersLoaded.Load():
-			clock.Sleep(ctx, searchInterval/4)
+			clock.Sleep(ctx, searchInterval/10)
 		case s.isReader():
 			f.current, f.searching = nil, time.Time{}
 			s.readStore()
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -59,6 +59,11 @@
 	if buckets == nil && t.GetDeputy() {
 		return n.relayTake(t)
 	}
+	if buckets == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), reclaimTimeout)
+		defer cancel()
+		buckets, config = n.lease.Reclaim(ctx), n.fleet.View().Config
+	}
 	if buckets == nil || config == nil {
 		return &wire.TakeAnswer{NotHome: true}
 	}
@@ -131,6 +136,10 @@
 // node.
 const relayTimeout = 100 * time.Millisecond
 
+// reclaimTimeout bounds the wait for the lease of a restarted coordinator. It is below
+// the timeout of a take call.
+const reclaimTimeout = 80 * time.Millisecond
+
 // takeViaPeer calls the coordinator through another node, which it selects at random
 // from this node's zone, or from the other zones if this one has no other node.
 func (n *Node) takeViaPeer(ctx context.Context, req quota.TakeRequest) (quota.TakeResult, error) {
--- a/mesh/quota/lease.go
+++ b/mesh/quota/lease.go
@@ -34,6 +34,12 @@
 	// node that does not read the store waits for other nodes to report the coordinator
 	// before it reads the lease itself.
 	peerReportWait = 3 * time.Second
+	// peerReportPollInterval is the time between two checks whether this node must still
+	// wait for reports of other nodes.
+	peerReportPollInterval = 100 * time.Millisecond
+	// reclaimPollInterval is the time between two checks for the lease that a restarted
+	// coordinator takes back.
+	reclaimPollInterval = 5 * time.Millisecond
 	// unreachablePeriod is how long reports of a coordinator that could not be reached are ignored.
 	unreachablePeriod = 1500 * time.Millisecond
 	// startJitter bounds the random delay that spreads the first claims of all nodes.
@@ -128,9 +134,13 @@
 		m.coordinator = Peer{}
 	}
 	m.mu.Unlock()
+	m.wakeUp()
+}
+
+func (m *LeaseManager) wakeUp() {
 	select {
 	case m.wake <- struct{}{}:
-	default:
+	default: // A wake-up is already pending.
 	}
 }
 
@@ -148,19 +158,41 @@
 // ObserveCoordinator records the coordinator that another node reported.
 func (m *LeaseManager) ObserveCoordinator(p Peer) {
 	m.mu.Lock()
-	if p == m.Self {
-		m.reportedAsCoordinator = m.buckets == nil
-	}
+	reclaims := p == m.Self && m.buckets == nil
+	m.reportedAsCoordinator = m.reportedAsCoordinator || reclaims
 	usable := m.buckets == nil && p != m.Self && (p != m.unreachable || time.Since(m.unreachableAt) > unreachablePeriod)
 	m.mu.Unlock()
+	if reclaims {
+		m.wakeUp()
+	}
 	if usable {
 		m.setCoordinator(p)
 	}
 }
 
+// Reclaim returns the token buckets once a restarted coordinator has taken its lease
+// back, or nil if it does not before ctx ends. It is called when another node takes a
+// token from this node, which shows that its lease may still be valid.
+func (m *LeaseManager) Reclaim(ctx context.Context) *BucketSet {
+	m.mu.Lock()
+	mayHoldLease := !m.stopped && time.Since(m.startedAt) < leaseDuration
+	m.mu.Unlock()
+	if !mayHoldLease {
+		return nil
+	}
+	m.ObserveCoordinator(m.Self)
+	for ctx.Err() == nil {
+		if b := m.Buckets(); b != nil {
+			return b
+		}
+		clock.Sleep(ctx, reclaimPollInterval)
+	}
+	return nil
+}
+
 // Run renews the lease while this node holds it, and otherwise finds or replaces the coordinator.
 func (m *LeaseManager) Run(ctx context.Context) {
-	clock.Sleep(ctx, rand.N(startJitter))
+	m.sleepOrWake(ctx, rand.N(startJitter), true)
 	wait := acquireInterval
 	for ctx.Err() == nil {
 		if m.holdsLease() {
@@ -177,7 +209,7 @@
 			continue
 		}
 		if m.waitsForPeers() {
-			clock.Sleep(ctx, acquireInterval/2)
+			m.sleepOrWake(ctx, peerReportPollInterval, true)
 			continue
 		}
 		if err := m.tryAcquire(ctx); err != nil {
