Own rows are written in batches by the reader of the zone; the lease has a part of its own

Cause: the store runs the transactions of one part one after another (150 a second). Requests at a node without its first configuration wait for it for up to 1 s (a reader of the zone sends it within 0.3 s). Edge: names of header fields must be tokens (400), Connection cannot remove fields that the next hop needs, the head of an answer is bounded by 64 KiB and an endless body is no longer drained. A panic of a handler ends its request only.

--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -30,6 +30,9 @@
 	revocationMargin = 800 * time.Millisecond
 	// defaultTimeout bounds a request that states no timeout on a route without one.
 	defaultTimeout = 10 * time.Second
+	// firstConfigWait is how long a request waits for the first configuration of a node that
+	// has just started, which a reader of the zone normally sends within 0.3 s.
+	firstConfigWait = time.Second
 	// responseMargin is subtracted from the deadline, so that the final response
 	// reaches the caller in time.
 	responseMargin = 10 * time.Millisecond
@@ -126,7 +129,10 @@
 }
 
 // resolve matches the route, authenticates the team and prepares the offer.
-func (e *Entry) resolve(_ context.Context, q *request) error {
+func (e *Entry) resolve(ctx context.Context, q *request) error {
+	if q.view.Config == nil {
+		q.view = e.cfg.Fleet.AwaitConfig(ctx, firstConfigWait)
+	}
 	if q.view.Config == nil {
 		return verdict.NewNotRun("no-configuration", "this node knows no configuration yet", defaultRetryAfter)
 	}
@@ -185,7 +191,7 @@
 
 // buildOffer sets the fields of the offer that are the same for all attempts.
 func (e *Entry) buildOffer(q *request, fingerprint crashguard.Fingerprint) {
-	header := h1.EndToEnd(q.Header)
+	header := h1.EndToEnd(q.Header, e.headers.IsProtected)
 	e.headers.StripRequestHeaders(header)
 	q.offer = &wire.Offer{
 		RequestId: q.id, Service: q.service, Method: q.Method, Target: q.RequestURI, Host: q.Host,
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -85,6 +85,9 @@
 // failure, such as a conflict or an unknown outcome, it reads the table, so that the
 // next attempt has the current revision.
 func (s *State) applyWritten(ctx context.Context, key string, value []byte, written platform.WriteResult, err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return err // Nothing was written.
+	}
 	if err != nil {
 		return s.rereadMembers(ctx, err)
 	}
--- a/mesh/fleet/readers.go
+++ b/mesh/fleet/readers.go
@@ -128,6 +128,14 @@
 	return min(time.Duration(rank-readersPerZone)*takeoverStep, maxTakeoverDelay)
 }
 
+// Followed returns the node that this node follows; zero if it follows none.
+func (s *State) Followed() Peer {
+	if p := s.followed.Load(); p != nil && !s.ReadsStore() {
+		return *p
+	}
+	return Peer{}
+}
+
 // knownReader returns this node if it reads the store, or the node that it follows.
 func (s *State) knownReader() Peer {
 	if p := s.followed.Load(); p != nil {
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -131,6 +131,25 @@
 // View returns the current view.
 func (s *State) View() *View { return s.view.Load() }
 
+// AwaitConfig returns the current view, after waiting for the first configuration for up
+// to maxWait.
+func (s *State) AwaitConfig(ctx context.Context, maxWait time.Duration) *View {
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	for {
+		changed := *s.changed.Load()
+		v := s.View()
+		if v.Config != nil {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
+
 // ConfirmationAge returns the time since the configuration was last confirmed to
 // be the newest one. It returns false if it was never confirmed.
 func (s *State) ConfirmationAge() (time.Duration, bool) {
--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -30,6 +31,8 @@
 	// maxStaleResponses bounds the responses that are read for one request. Responses
 	// to other requests are discarded; after that many the connection is closed.
 	maxStaleResponses = 4
+	// maxHeadBytes bounds the head of a response, with the 1xx responses before it.
+	maxHeadBytes = 64 << 10
 	// maxInformationalResponses bounds the 1xx responses before the final one.
 	maxInformationalResponses = 8
 )
@@ -107,15 +110,20 @@
 	counter   *countingReader
 }
 
-// countingReader counts the bytes that are read.
+// countingReader counts the bytes that are read and fails beyond limit.
 type countingReader struct {
-	r io.Reader
-	n int64
+	r        io.Reader
+	n, limit int64
 }
 
+var errHeadTooLarge = errors.Newf("response head is larger than %d bytes", maxHeadBytes)
+
 // Read implements io.Reader.
 func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
+	if c.n >= c.limit {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.r.Read(p[:min(int64(len(p)), c.limit-c.n)])
 	c.n += int64(n)
 	return n, err
 }
@@ -288,7 +296,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read the rest of it. Whoever gets an error closes
+	// the connection.
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxBodyBytes+1))
 	if err != nil {
 		return nil, false, errors.Wrap(err, "read body")
@@ -302,11 +311,16 @@
 }
 
 func (c *Client) readHead(conn *clientConn, req *UpstreamRequest) (*http.Response, error) {
+	conn.counter.limit = conn.counter.n + maxHeadBytes
+	defer func() { conn.counter.limit = math.MaxInt64 }()
 	for range maxInformationalResponses {
 		resp, err := http.ReadResponse(conn.br, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if !validFields(resp.Header) {
+			return nil, errors.New("response with an invalid header field")
+		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
 		}
--- a/mesh/h1/conn.go
+++ b/mesh/h1/conn.go
@@ -137,7 +137,7 @@
 			case <-c.ctx.Done():
 			}
 		}
-		go func() { p.response <- c.server.Handler.Handle(c.ctx, r) }()
+		go func() { p.response <- c.handle(r) }()
 		if p.closeAfter {
 			c.lingerUntilClosed(p)
 			return
@@ -145,6 +145,16 @@
 	}
 }
 
+// handle calls the handler. A panic of the handler ends only its request.
+func (c *serverConn) handle(r *Request) (resp *Response) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			resp = c.server.OnPanic(cause)
+		}
+	}()
+	return c.server.Handler.Handle(c.ctx, r)
+}
+
 // lingerUntilClosed drains the connection until the last response was sent and
 // detects meanwhile that the caller closes the connection.
 func (c *serverConn) lingerUntilClosed(p *pendingResponse) {
@@ -215,6 +225,9 @@
 	if headerSize(parsed.Header) > limits.HeaderBytes && limits.HeaderBytes > 0 {
 		return nil, c.server.Refuse(http.StatusRequestHeaderFieldsTooLarge, "header is larger than the limit")
 	}
+	if !validFields(parsed.Header) {
+		return nil, c.server.Refuse(http.StatusBadRequest, "request with an invalid header field")
+	}
 	if parsed.Host == "" || strings.ContainsAny(parsed.Host, " /\\@") {
 		return nil, c.server.Refuse(http.StatusBadRequest, "request without a valid host")
 	}
--- a/mesh/h1/server.go
+++ b/mesh/h1/server.go
@@ -62,6 +62,8 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// OnPanic returns the response to a request whose handler has panicked.
+	OnPanic func(cause any) *Response
 	// Refuse returns the response to a request that exceeds a limit or cannot be parsed.
 	Refuse func(status int, reason string) *Response
 
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -436,7 +436,7 @@
 func (o *Owner) sendResponse(r *activeRequest, resp *h1.UpstreamResponse) error {
 	head := &wire.Head{
 		Status: uint32(resp.Status), RequestId: r.offer.GetRequestId(), ContentLength: int64(len(resp.Body)),
-		Fields: wire.FieldsFromHeader(h1.EndToEnd(resp.Header)),
+		Fields: wire.FieldsFromHeader(h1.EndToEnd(resp.Header, o.headers.IsProtected)),
 	}
 	envelopes := []*wire.Envelope{wire.HeadEnvelope(head)}
 	for rest := resp.Body; len(rest) > 0; {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -31,6 +31,9 @@
 	// memberTable and leaseTable are the tables of the nodes in the store.
 	memberTable = "trefoildock"
 	leaseTable  = "trefoildock-lease"
+	// leasePart is the part of leaseTable that holds the lease. Its writes do not wait for
+	// those of the members, which arrive all at once when the fleet restarts.
+	leasePart = "lease"
 	// cluster prevents links to nodes of other deployments on shared networks.
 	cluster = "platform"
 	// storeTimeout bounds a call to the store that does not wait for changes. The
@@ -88,6 +91,7 @@
 	startedAt   time.Time
 
 	store        *platform.Client
+	memberWrites *rowBatch
 	fleet        *fleet.State
 	owner        *owner.Owner
 	lease        *quota.LeaseManager
@@ -133,6 +137,7 @@
 		return nil, errors.Wrap(err, "create the client of the platform's store")
 	}
 	n.store = store
+	n.memberWrites = &rowBatch{write: n.rowsOf(memberTable).WriteAll}
 	n.build()
 	return n, nil
 }
--- a/mesh/process/relay.go
+++ b/mesh/process/relay.go
@@ -40,7 +40,15 @@
 }
 
 func (n *Node) newRelayedTable(table string) *relayedTable {
-	return &relayedTable{Rows: n.store.Rows(table), name: table, node: n}
+	return &relayedTable{Rows: n.rowsOf(table), name: table, node: n}
+}
+
+// rowsOf returns the client of a table of the nodes.
+func (n *Node) rowsOf(table string) *platform.Rows {
+	if table == leaseTable {
+		return n.store.RowsInPart(table, leasePart)
+	}
+	return n.store.Rows(table)
 }
 
 // Write writes a row if it is at the expected revision.
@@ -50,6 +58,12 @@
 		slices.Reverse(writers)
 	}
 	w := &wire.StoreWrite{Table: t.name, Key: key, Value: value, Expected: expected}
+	if source := t.node.fleet.Followed(); t.name == memberTable && source.Address != "" {
+		written, err := t.node.writeViaPeer(ctx, source.Address, &wire.StoreWrite{Table: t.name, Key: key, Value: value, Expected: expected, Batch: true})
+		if err == nil || !mayRelay(err) {
+			return written, err
+		}
+	}
 	written, err := writers[0](ctx, w)
 	if err == nil || !mayRelay(err) {
 		return written, err
@@ -114,7 +128,11 @@
 
 // writeViaPeer writes a row through one node.
 func (n *Node) writeViaPeer(ctx context.Context, address string, w *wire.StoreWrite) (platform.WriteResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayWriteTimeout+relayTimeout)
+	timeout := relayWriteTimeout
+	if w.GetBatch() {
+		timeout = batchWriteTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+relayTimeout)
 	defer cancel()
 	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_StoreWrite{StoreWrite: w}})
 	if err != nil {
@@ -133,15 +151,26 @@
 	}
 }
 
+// writeForPeer writes a row on behalf of another node, together with other rows if the
+// request allows it.
+func (n *Node) writeForPeer(w *wire.StoreWrite) (platform.WriteResult, error) {
+	if w.GetBatch() && w.GetTable() == memberTable {
+		ctx, cancel := context.WithTimeout(context.Background(), batchWriteTimeout)
+		defer cancel()
+		return n.memberWrites.Write(ctx, platform.RowWrite{Key: w.GetKey(), Value: w.GetValue(), Expected: w.GetExpected()})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayWriteTimeout)
+	defer cancel()
+	return n.rowsOf(w.GetTable()).Write(ctx, w.GetKey(), w.GetValue(), w.GetExpected())
+}
+
 // handleStoreWrite writes a row on behalf of another node. Only the tables of the nodes
 // are writable.
 func (n *Node) handleStoreWrite(w *wire.StoreWrite) *wire.StoreWriteAnswer {
 	if t := w.GetTable(); t != memberTable && t != leaseTable {
 		return &wire.StoreWriteAnswer{Outcome: wire.StoreWriteAnswer_NOT_WRITTEN}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), relayWriteTimeout)
-	defer cancel()
-	written, err := n.store.Rows(w.GetTable()).Write(ctx, w.GetKey(), w.GetValue(), w.GetExpected())
+	written, err := n.writeForPeer(w)
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
