--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -73,8 +73,9 @@
 func (e *Entry) startAttempt(ctx context.Context, q *request) <-chan outcome {
 	out := make(chan outcome, 1)
 	go func() {
-		resp, err := e.attempt(ctx, q)
-		out <- outcome{resp, err}
+		o := outcome{err: errPanic}
+		e.cfg.Recovery.Do("attempt", q.id, func() { o.resp, o.err = e.attempt(ctx, q) })
+		out <- o
 	}()
 	return out
 }
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -17,6 +17,7 @@
 	"trefoildock.example/mesh/h1"
 	"trefoildock.example/mesh/owner"
 	"trefoildock.example/mesh/quota"
+	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/platform"
 	"trefoildock.example/retry"
 	"trefoildock.example/routing"
@@ -52,6 +53,8 @@
 	Owner               *owner.Owner
 	Logger              log.Logger
 	Metrics             *Metrics
+	// Recovery records panics; nil means that they are recovered without a record.
+	Recovery *recovery.Recorder
 }
 
 // Entry handles the requests of callers.
@@ -97,7 +100,9 @@
 func (e *Entry) Handle(ctx context.Context, r *h1.Request) *h1.Response {
 	q := &request{Request: r, id: e.headers.RequestID(r.Header), view: e.cfg.Fleet.View(), tried: make(map[string]bool)}
 	e.cfg.Metrics.Requests.Inc(1)
-	resp, err := e.handle(ctx, q)
+	var resp *h1.Response
+	err := errPanic
+	e.cfg.Recovery.Do("entry", q.id, func() { resp, err = e.handle(ctx, q) })
 	if err != nil {
 		resp = e.failureResponse(q, verdict.FromError(err))
 	}
@@ -108,6 +113,9 @@
 	return resp
 }
 
+// errPanic is the result of a request whose handling has panicked.
+var errPanic error = &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: "internal-error", Detail: "the proxy failed to handle the request"}
+
 // isOutboundCall reports whether the request is an outbound call of the backend
 // server on this VM. Only the routes of outbound calls need no key.
 func (q *request) isOutboundCall() bool { return q.route != nil && q.route.Public }
@@ -136,8 +144,8 @@
 	if q.view.Config == nil {
 		return verdict.NewNotRun("no-configuration", "this node knows no configuration yet", defaultRetryAfter)
 	}
-	if q.id == "" {
-		return refuse(http.StatusBadRequest, "bad-request", "the request carries no id")
+	if err := e.headers.CheckRequest(q.Header); err != nil {
+		return refuse(http.StatusBadRequest, "bad-request", err.Error())
 	}
 	q.route = q.view.Config.MatchRoute(q.Host, q.URL.Path)
 	if q.route == nil {
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"trefoildock.example/mesh/clock"
+	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/platform"
 	"trefoildock.example/routing"
 )
@@ -77,6 +78,8 @@
 	// OnView is called with each new view.
 	OnView func(*View)
 	Logger log.Logger
+	// Recovery records panics; nil means that they are recovered without a record.
+	Recovery *recovery.Recorder
 }
 
 // State is the copy of the fleet state that a node maintains.
@@ -199,7 +202,7 @@
 		case <-ctx.Done():
 			return
 		case task := <-s.tasks:
-			task()
+			s.cfg.Recovery.Do("fleet state", "", task)
 		}
 	}
 }
@@ -216,7 +219,7 @@
 // ended or ctx ends.
 func (s *State) runAndWait(ctx context.Context, f func()) {
 	done := make(chan struct{})
-	s.enqueue(ctx, func() { f(); close(done) })
+	s.enqueue(ctx, func() { defer close(done); f() })
 	select {
 	case <-done:
 	case <-s.stopped:
@@ -355,7 +358,8 @@
 	for ctx.Err() == nil {
 		s.storeGate.wait(ctx)
 		callCtx, cancel := s.storeGate.whileOpen(ctx)
-		err := f(callCtx)
+		err := errPanic
+		s.cfg.Recovery.Do("table "+table, "", func() { err = f(callCtx) })
 		closed := callCtx.Err() != nil
 		cancel()
 		if !closed { // Otherwise this node follows another one, or ctx has ended.
@@ -368,7 +372,8 @@
 func (s *State) retry(ctx context.Context, table string, f func(context.Context) error) {
 	b := storeBackoff{state: s, table: table}
 	for ctx.Err() == nil {
-		err := f(ctx)
+		err := errPanic
+		s.cfg.Recovery.Do("table "+table, "", func() { err = f(ctx) })
 		if err == nil {
 			return
 		}
@@ -376,6 +381,9 @@
 	}
 }
 
+// errPanic is the result of a call whose handling has panicked.
+var errPanic = errors.New("panic while a response of the store was handled")
+
 // storeBackoff is the exponential backoff of the calls for one table.
 type storeBackoff struct {
 	state  *State
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -16,6 +16,7 @@
 
 	"trefoildock.example/admission"
 	"trefoildock.example/mesh/h1"
+	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/platform"
 )
 
@@ -65,6 +66,8 @@
 	OnCrash func(incarnation string, fingerprints [][]byte)
 	Logger  log.Logger
 	Metrics *Metrics
+	// Recovery records panics; nil means that they are recovered without a record.
+	Recovery *recovery.Recorder
 }
 
 // Owner admits and runs requests on one backend server.
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -72,8 +72,10 @@
 	r := &activeRequest{offer: offer, stream: stream, ctx: ctx, cancel: cancel, commits: make(chan *wire.Commit, 1), body: make(chan []byte, 1)}
 	o.addRunning(1)
 	defer o.addRunning(-1)
-	go r.readStream()
-	if err := o.serve(r); err != nil {
+	go o.cfg.Recovery.Do("owner stream", offer.GetRequestId(), r.readStream)
+	var err error = verdict.NewMayHaveRun("internal-error", "the owner failed to handle the request", nil)
+	o.cfg.Recovery.Do("owner", offer.GetRequestId(), func() { err = o.serve(r) })
+	if err != nil {
 		e := verdict.FromError(err)
 		o.cfg.Logger.Log("event", "request failed at the owner", "request", offer.GetRequestId(), "code", e.Code,
 			"verdict", e.Verdict, "cause", e.Cause)
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -20,7 +20,12 @@
 func (n *Node) Verify(link.Peer) error { return nil }
 
 // ServeStream implements link.Handler.
-func (n *Node) ServeStream(_ link.Peer, s *link.Stream, first *wire.Envelope) error {
+func (n *Node) ServeStream(_ link.Peer, s *link.Stream, first *wire.Envelope) (err error) {
+	n.recovery.Do("link", "", func() { err = n.serveStream(s, first) })
+	return err
+}
+
+func (n *Node) serveStream(s *link.Stream, first *wire.Envelope) error {
 	switch m := first.GetBody().(type) {
 	case *wire.Envelope_Offer:
 		n.owner.Serve(s, m.Offer)
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -23,6 +23,7 @@
 	"trefoildock.example/mesh/h1"
 	"trefoildock.example/mesh/owner"
 	"trefoildock.example/mesh/quota"
+	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/platform"
 	"trefoildock.example/verdict"
 )
@@ -92,6 +93,7 @@
 
 	store        *platform.Client
 	memberWrites *rowBatch
+	recovery     *recovery.Recorder
 	fleet        *fleet.State
 	owner        *owner.Owner
 	lease        *quota.LeaseManager
@@ -124,6 +126,7 @@
 	if n.advertised == "" {
 		n.advertised = n.linkAddress()
 	}
+	n.recovery = recovery.New(cfg.Logger, n.registry)
 	malformed := metrics.NewRegisteredCounter("store.malformed", n.registry)
 	store, err := platform.NewClient(platform.ClientConfig{
 		URL: "http://" + s.StoreAddress, Timeout: storeTimeout, MaxConnections: storeConnections,
@@ -160,7 +163,7 @@
 		OnError: func(err error) { n.logger.Log("event", "link closed", "err", err) },
 	}
 	n.owner = owner.New(owner.Config{
-		Bounds: s.Bounds, Heartbeat: s.Heartbeat, ColdStart: n.coldStart, RouteName: n.routeName, Logger: n.logger, Metrics: owner.NewMetrics(n.registry),
+		Bounds: s.Bounds, Heartbeat: s.Heartbeat, ColdStart: n.coldStart, RouteName: n.routeName, Logger: n.logger, Metrics: owner.NewMetrics(n.registry), Recovery: n.recovery,
 		OnChange: func() { n.fleet.Publish() },
 		OnCrash: func(incarnation string, fingerprints [][]byte) {
 			n.fleet.ReportCrash(context.Background(), incarnation, fingerprints)
@@ -177,7 +180,7 @@
 				n.lease.MarkUnreachable(p)
 			}
 		},
-		OnView: n.applyView, Logger: n.logger,
+		OnView: n.applyView, Logger: n.logger, Recovery: n.recovery,
 	})
 	n.lease = &quota.LeaseManager{
 		Self: quota.Peer{Node: s.Node, Address: n.advertised}, Table: n.newRelayedTable(leaseTable), Logger: n.logger,
@@ -192,9 +195,9 @@
 	}
 	n.entry = entry.New(entry.Config{
 		Node: s.Node, Zone: s.Zone, Service: s.BackendService, Bounds: s.Bounds, Fleet: n.fleet, RateLimiter: n.limiter,
-		Links: n.links, Owner: n.owner, Logger: n.logger, Metrics: entry.NewMetrics(n.registry),
+		Links: n.links, Owner: n.owner, Logger: n.logger, Metrics: entry.NewMetrics(n.registry), Recovery: n.recovery,
 	})
-	n.callerServer = &h1.Server{Handler: n.entry, Limits: n.limits, Refuse: refuse}
+	n.callerServer = &h1.Server{Handler: n.entry, Limits: n.limits, Refuse: refuse, OnPanic: n.refuseAfterPanic}
 }
 
 func (n *Node) linkAddress() string {
@@ -243,6 +246,13 @@
 	return entry.ErrorResponse(&verdict.Error{Verdict: verdict.NotRun, Status: status, Code: "bad-request", Detail: reason})
 }
 
+// refuseAfterPanic returns the response to a request whose handler has panicked outside
+// of the entry's own recovery.
+func (n *Node) refuseAfterPanic(cause any) *h1.Response {
+	n.recovery.Record("callers", "", cause)
+	return entry.ErrorResponse(&verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: "internal-error", Detail: "the proxy failed to handle the request"})
+}
+
 // publishedBackend returns the backend server for the row of this node in the store.
 // Within firstHeartbeatTimeout of the start it returns false until a heartbeat is
 // received, so that the row of the earlier process stays.
