The size limit of a response follows from the memory limit of the process

A backend server that sends bodies without end on all slots could exhaust a process of 184 MB: four bodies of up to 64 MiB each were held. The limit is now a sixteenth of the memory limit (11.5 MB there). TestEndlessBodyIsBounded: the request ends at once with a true verdict, the next one on the same backend server is served.

--- a/mesh/entry/misuse_test.go
+++ b/mesh/entry/misuse_test.go
@@ -50,12 +50,12 @@
 		"leaving": func(t *testing.T, n *testNode, id string) {
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 			defer cancel()
-			r := httptest.NewRequest("POST", "http://shop/order/x", nil)
+			r := httptest.NewRequest(http.MethodPost, "http://shop/order/x", nil)
 			r.Header.Set("Request-Id", id)
 			n.entry.Handle(ctx, &h1.Request{Request: r, Received: time.Now()})
 		},
 		"id listed in Connection": func(t *testing.T, n *testNode, id string) {
-			r := httptest.NewRequest("GET", "http://shop/x", nil)
+			r := httptest.NewRequest(http.MethodGet, "http://shop/x", nil)
 			r.Header.Set("Request-Id", id)
 			r.Header.Set("Connection", "close, Request-Id")
 			resp := n.entry.Handle(t.Context(), &h1.Request{Request: r, Received: time.Now()})
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -80,7 +80,7 @@
 	}
 	s.awaitFirstConfirmation(ctx)
 	age, ok := s.ConfirmationAge()
-	if wait := min(req.Wait, followWait, followMaxAge-age); ok && wait > 0 && !(s.ReadsStore() && s.storeUnavailable.Load()) {
+	if wait := min(req.Wait, followWait, followMaxAge-age); ok && wait > 0 && (!s.ReadsStore() || !s.storeUnavailable.Load()) {
 		ctx, cancel := context.WithTimeout(ctx, wait)
 		s.awaitChange(ctx, req)
 		cancel()
--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -292,12 +292,10 @@
 }
 
 func (c *Client) readNextResponse(conn *clientConn, req *UpstreamRequest) (*UpstreamResponse, bool, error) {
-	resp, err := c.readHead(conn, req)
+	resp, err := c.readHead(conn, req) //nolint:bodyclose // Closing would read the rest of the body.
 	if err != nil {
 		return nil, false, err
 	}
-	// The body is not closed: that would read the rest of it. Whoever gets an error closes
-	// the connection.
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxBodyBytes+1))
 	if err != nil {
 		return nil, false, errors.Wrap(err, "read body")
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -40,9 +40,9 @@
 	// coldRateMargin, in requests per second, keeps the rate of a backend server that
 	// may be cold below its upper bound.
 	coldRateMargin = 2
-	// maxResponseBytes bounds a response body, which is buffered completely before it
-	// is forwarded.
-	maxResponseBytes = 64 << 20
+	// defaultMaxResponseBytes bounds a response body, which is buffered completely before
+	// it is forwarded, if Config.MaxResponseBytes is 0.
+	defaultMaxResponseBytes = 64 << 20
 )
 
 // Config holds the settings and callbacks of an Owner.
@@ -64,8 +64,10 @@
 	// OnCrash is called with the fingerprints of the requests that were in flight when
 	// the backend server crashed.
 	OnCrash func(incarnation string, fingerprints [][]byte)
-	Logger  log.Logger
-	Metrics *Metrics
+	// MaxResponseBytes bounds a response body; 0 means 64 MiB.
+	MaxResponseBytes int64
+	Logger           log.Logger
+	Metrics          *Metrics
 	// Recovery records panics; nil means that they are recovered without a record.
 	Recovery *recovery.Recorder
 }
@@ -115,7 +117,12 @@
 }
 
 // New returns an Owner without a backend server.
-func New(cfg Config) *Owner { return &Owner{cfg: cfg} }
+func New(cfg Config) *Owner {
+	if cfg.MaxResponseBytes == 0 {
+		cfg.MaxResponseBytes = defaultMaxResponseBytes
+	}
+	return &Owner{cfg: cfg}
+}
 
 // Status is the state of the backend server that is published to other nodes.
 type Status struct {
@@ -246,7 +253,7 @@
 	})
 	b.gate.Announce(admission.Announcement{Slots: a.Slots, Incarnation: incarnationOf(a)})
 	b.client = &h1.Client{
-		Address: a.Address, RequestID: o.headers.RequestID, MaxBodyBytes: maxResponseBytes, Dial: o.cfg.Dial,
+		Address: a.Address, RequestID: o.headers.RequestID, MaxBodyBytes: o.cfg.MaxResponseBytes, Dial: o.cfg.Dial,
 		OnDial: func() { o.cfg.Metrics.Dials.Inc(1) },
 	}
 	if a.ColdStartRemaining > 0 {
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -372,3 +372,39 @@
 	}
 	require.False(t, o.backend.health.suspected)
 }
+
+// Guards against a backend server that sends bodies without end and exhausts the memory of
+// the process, and against such a request that ends without a verdict or delays others.
+func TestEndlessBodyIsBounded(t *testing.T) {
+	var sent atomic.Int64
+	backend := newTestBackend(t, func(conn net.Conn, r *http.Request) {
+		if r.URL.Path != "/endless" {
+			respondOK(conn, r)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n\r\n", r.Header.Get("Request-Id"))
+		block := make([]byte, 64<<10)
+		for {
+			n, err := conn.Write(block)
+			if sent.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	})
+	o := newOwner(t, nil)
+	o.cfg.MaxResponseBytes = 1 << 20
+	require.NoError(t, o.Announce(announcement(backend)))
+	began := time.Now()
+	endless := newOffer("a")
+	endless.Target = "/endless"
+	_, _, err := sendOffer(o, endless)
+	require.NotNil(t, err)
+	require.Equal(t, CodeBadResponse, err.Code)
+	require.Equal(t, verdict.MayHaveRun, err.Verdict)
+	require.Less(t, time.Since(began), time.Second, "the request waited for its deadline")
+	require.Less(t, sent.Load(), int64(16<<20), "1 MiB and the buffers of the sockets")
+	head, body, err := sendOffer(o, newOffer("b"))
+	require.Nil(t, err)
+	require.EqualValues(t, 200, head.GetStatus())
+	require.Equal(t, "hello", body)
+}
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -68,6 +68,10 @@
 	// idleBeforeExit is how long the node must be without running requests before the
 	// process ends.
 	idleBeforeExit = 200 * time.Millisecond
+	// memoryPerResponse is the ratio of the memory limit of the process to the size limit of
+	// one response. A backend server that sends bodies without end on all of its slots must
+	// not exhaust the memory.
+	memoryPerResponse = 16
 	// killMargin is the part of the grace period that is reserved before SIGKILL.
 	killMargin = 500 * time.Millisecond
 )
@@ -164,7 +168,8 @@
 	}
 	n.owner = owner.New(owner.Config{
 		Bounds: s.Bounds, Heartbeat: s.Heartbeat, ColdStart: n.coldStart, RouteName: n.routeName, Logger: n.logger, Metrics: owner.NewMetrics(n.registry), Recovery: n.recovery,
-		OnChange: func() { n.fleet.Publish() },
+		MaxResponseBytes: s.MemoryBytes / memoryPerResponse,
+		OnChange:         func() { n.fleet.Publish() },
 		OnCrash: func(incarnation string, fingerprints [][]byte) {
 			n.fleet.ReportCrash(context.Background(), incarnation, fingerprints)
 		},
--- a/node/dispatch_test.go
+++ b/node/dispatch_test.go
@@ -227,7 +227,9 @@
 	require.NoError(t, err)
 	requireProblem(t, first, 504, verdict.MayHaveRun, "deadline-exceeded")
 	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 0 }, "the slot is released")
-	go func() { _, _ = f.send(c, http.MethodPost, "/once/x", strings.NewReader("order"), "Request-Timeout", "5") }()
+	go func() {
+		_, _ = f.send(c, http.MethodPost, "/once/x", strings.NewReader("order"), "Request-Timeout", "5")
+	}()
 	eventually(t, func() bool { return f.owners[0].owner.inFlight() == 1 }, "the slot is taken")
 	r, err := f.send(c, http.MethodPost, "/once/x", strings.NewReader("order"), "Request-Timeout", "0.2")
 	require.NoError(t, err)
