--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -85,6 +85,9 @@
 	Advertise string
 	// MetricsAddress is the listen address of the metrics; empty disables them.
 	MetricsAddress string
+	// Listen opens a listener; nil means a TCP listener with the given options. Tests pass
+	// listeners that are already open, because a free port can be taken in between.
+	Listen func(options net.ListenConfig, address string) (net.Listener, error)
 }
 
 // Node is a node on the platform.
@@ -110,6 +113,7 @@
 	// advertised is the address that other nodes dial.
 	advertised         string
 	metricsAddress     string
+	openListener       func(options net.ListenConfig, address string) (net.Listener, error)
 	draining           atomic.Bool
 	heartbeatsStopped  atomic.Bool
 	restoreOnce        sync.Once
@@ -127,6 +131,9 @@
 		settings: s, logger: cfg.Logger, registry: metrics.NewRegistry(), incarnation: uuid.Must(uuid.NewV7()).String(),
 		advertised: cfg.Advertise, metricsAddress: cfg.MetricsAddress, startedAt: time.Now(),
 	}
+	if n.openListener = cfg.Listen; n.openListener == nil {
+		n.openListener = listenTCP
+	}
 	if n.advertised == "" {
 		n.advertised = n.linkAddress()
 	}
--- a/mesh/process/relay_test.go
+++ b/mesh/process/relay_test.go
@@ -19,15 +19,24 @@
 
 const waitTimeout = 20 * time.Second
 
-// freeAddress returns a local address that is not in use.
-func freeAddress(t *testing.T) (address string, port int) {
+// openListeners holds open listeners by address, which are handed over to a node. A port
+// that is closed and opened again could be taken by another process in between.
+type openListeners map[string]net.Listener
+
+// open opens a listener on a free port.
+func (l openListeners) open(t *testing.T) (address string, port int) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer ln.Close()
+	l[ln.Addr().String()] = ln
 	return ln.Addr().String(), ln.Addr().(*net.TCPAddr).Port
 }
 
+// listen returns the open listener of an address.
+func (l openListeners) listen(_ net.ListenConfig, address string) (net.Listener, error) {
+	return l[address], nil
+}
+
 // startNode runs a node with an announced backend server.
 func startNode(t *testing.T, name string, store http.Handler) *Node {
 	t.Helper()
@@ -39,11 +48,12 @@
 		Heartbeat: time.Second, StoreAddress: strings.TrimPrefix(srv.URL, "http://"),
 		Bounds: platform.Bounds{RevocationDeadline: 5 * time.Second, RetryBudgetWindow: 10 * time.Second, RateWindow: 5 * time.Second},
 	}
-	_, s.FirstLinkPort = freeAddress(t)
-	s.ListenCallers, _ = freeAddress(t)
-	s.ListenReady, _ = freeAddress(t)
-	s.ListenAnnounce, _ = freeAddress(t)
-	n, err := New(Config{Settings: s, Logger: log.NewNopLogger()})
+	listeners := make(openListeners)
+	_, s.FirstLinkPort = listeners.open(t)
+	s.ListenCallers, _ = listeners.open(t)
+	s.ListenReady, _ = listeners.open(t)
+	s.ListenAnnounce, _ = listeners.open(t)
+	n, err := New(Config{Settings: s, Logger: log.NewNopLogger(), Listen: listeners.listen})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/mesh/process/sockets.go
+++ b/mesh/process/sockets.go
@@ -81,8 +81,12 @@
 	return nil
 }
 
+func listenTCP(options net.ListenConfig, address string) (net.Listener, error) {
+	return options.Listen(context.Background(), "tcp", address)
+}
+
 func (n *Node) listenOn(purpose, address string, c net.ListenConfig) (net.Listener, error) {
-	ln, err := c.Listen(context.Background(), "tcp", address)
+	ln, err := n.openListener(c, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s on %s", purpose, address)
 	}
