A planned stop refuses all new requests before the backend server is handed over

Cause: after the last check for running requests the process hands its backend server over, which takes up to 0.4 s with a slow store. Requests accepted meanwhile, and outbound calls until the end of the grace period, ran on other nodes' backend servers and were cut by the end of the process.

--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -63,7 +63,9 @@
 	headers platform.HeaderCodec
 	peers   *peers
 
-	stopped atomic.Bool
+	// stopped refuses the requests of callers, closed also the outbound calls of the backend
+	// server on this VM.
+	stopped, closed atomic.Bool
 
 	mu        sync.Mutex
 	budgets   map[string]*retry.Budget
@@ -96,6 +98,12 @@
 // on this VM are still accepted, so that the requests that wait for them can finish.
 func (e *Entry) Stop() { e.stopped.Store(true) }
 
+// Close refuses all further requests, so that none is running when the process ends.
+func (e *Entry) Close() {
+	e.stopped.Store(true)
+	e.closed.Store(true)
+}
+
 // Handle handles one request. ctx ends when the caller closes the connection.
 func (e *Entry) Handle(ctx context.Context, r *h1.Request) *h1.Response {
 	q := &request{Request: r, id: e.headers.RequestID(r.Header), view: e.cfg.Fleet.View(), tried: make(map[string]bool)}
@@ -151,7 +159,7 @@
 	if q.route == nil {
 		return refuse(http.StatusNotFound, "no-route", "no route matches the request")
 	}
-	if e.stopped.Load() && !q.isOutboundCall() {
+	if e.closed.Load() || e.stopped.Load() && !q.isOutboundCall() {
 		return verdict.NewNotRun("stopping", "this node is about to stop", defaultRetryAfter)
 	}
 	if err := e.authenticate(q); err != nil {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -65,6 +65,9 @@
 	// acceptPeriod is the time after SIGTERM in which requests are still accepted. Later
 	// requests are refused, so that every accepted request can finish.
 	acceptPeriod = 2900 * time.Millisecond
+	// finalRefusalPeriod is the time before the end of the grace period in which outbound
+	// calls of the backend server are refused too, so that none is cut.
+	finalRefusalPeriod = 800 * time.Millisecond
 	// idleBeforeExit is how long the node must be without running requests before the
 	// process ends.
 	idleBeforeExit = 200 * time.Millisecond
@@ -382,6 +385,8 @@
 	stopAccepting := time.AfterFunc(acceptPeriod, n.entry.Stop)
 	defer stopAccepting.Stop()
 	deadline := started.Add(max(n.settings.Bounds.GracePeriod-killMargin, drainNotice))
+	closeEntry := time.AfterFunc(time.Until(deadline)-finalRefusalPeriod, n.entry.Close)
+	defer closeEntry.Stop()
 	idleSince := time.Now()
 	for time.Now().Before(deadline) {
 		if n.callerServer.Active() > 0 || n.owner.Running() > 0 {
@@ -392,7 +397,11 @@
 		}
 		time.Sleep(idleBeforeExit / 4)
 	}
+	n.entry.Close() // Requests that arrive during the handover would be cut by the end of the process.
 	n.handOver()
+	for n.callerServer.Active() > 0 && time.Now().Before(deadline) {
+		time.Sleep(idleBeforeExit / 4)
+	}
 	n.logger.Log("event", "node stopped", "callers", n.callerServer.Active(), "running", n.owner.Running(), "took", time.Since(started))
 }
 
