A resend on a new connection takes from the retry budget

Cause, from the trace: a reused connection of a leaving backend server is closed, the request is sent again on a new one, and both arrivals count (24.180 s: 'reaches server, answers 0 and doesn't run it (gone)', twice). These resends took nothing from the budget. TestResendOnNewConnectionTakesFromRetryBudget failed to compile before, as no such check existed.

--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -66,6 +66,7 @@
 		Bounds: bounds, Heartbeat: time.Second, Logger: log.NewNopLogger(), Metrics: owner.NewMetrics(registry),
 		ColdStart: func(string) (time.Duration, float64) { return 0, 0 },
 		RouteName: func(_, target string) string { return target }, OnChange: func() {}, OnCrash: func(string, [][]byte) {},
+		AllowResend: func(context.Context, string) bool { return true },
 	})
 	require.NoError(t, n.owner.Announce(platform.Announcement{
 		ID: "i-1", Service: "orders", Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 1, Sequence: 1, StartedAt: time.UnixMilli(1),
--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -47,9 +47,10 @@
 	// MaxIdle bounds the idle time of a connection that is reused for the request; 0
 	// means no further bound.
 	MaxIdle time.Duration
-	// Retryable requests are sent again on a new connection if a reused connection
+	// AllowResend reports whether the request may be sent again on a new connection. It is
+	// called if a reused connection
 	// fails before a response arrives.
-	Retryable bool
+	AllowResend func() bool
 }
 
 // UpstreamResponse is a complete response of a backend server.
@@ -149,7 +150,7 @@
 	}
 	resp, err := c.exchange(ctx, conn, req)
 	var upstreamErr *UpstreamError
-	if reused && req.Retryable && errors.As(err, &upstreamErr) && !upstreamErr.ResponseStarted && ctx.Err() == nil {
+	if reused && errors.As(err, &upstreamErr) && !upstreamErr.ResponseStarted && ctx.Err() == nil && req.AllowResend() {
 		if conn, err = c.dial(ctx); err != nil {
 			return nil, &UpstreamError{Sent: true, Cause: err}
 		}
--- a/mesh/h1/client_test.go
+++ b/mesh/h1/client_test.go
@@ -36,7 +36,7 @@
 }
 
 func newRequest(id string, retryable bool) *UpstreamRequest {
-	return &UpstreamRequest{Method: "GET", Target: "/", Host: "a", ID: id, Retryable: retryable, Header: http.Header{"Id": {id}}}
+	return &UpstreamRequest{Method: "GET", Target: "/", Host: "a", ID: id, AllowResend: func() bool { return retryable }, Header: http.Header{"Id": {id}}}
 }
 
 func respondWithID(conn net.Conn, r *http.Request) {
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -59,6 +59,10 @@
 	RouteName func(host, target string) string
 	// Dial opens a connection to the backend server; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// AllowResend takes one retry to the service from the fleet-wide retry budget. An
+	// idempotent request is sent again if the backend server has closed a reused
+	// connection, which the backend server may count as a second arrival.
+	AllowResend func(ctx context.Context, service string) bool
 	// OnChange is called when the published state of the backend server has changed.
 	OnChange func()
 	// OnCrash is called with the fingerprints of the requests that were in flight when
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -70,11 +71,12 @@
 func newOwner(t *testing.T, crashed chan<- int) *Owner {
 	t.Helper()
 	return New(Config{
-		Bounds:    platform.Bounds{ColdStartRateFactor: 1.5, ColdStartRateSlack: 5},
-		Heartbeat: time.Second,
-		ColdStart: func(string) (time.Duration, float64) { return 3 * time.Second, 4 },
-		RouteName: func(_, target string) string { return target },
-		OnChange:  func() {}, OnCrash: func(_ string, f [][]byte) { crashed <- len(f) },
+		Bounds:      platform.Bounds{ColdStartRateFactor: 1.5, ColdStartRateSlack: 5},
+		Heartbeat:   time.Second,
+		ColdStart:   func(string) (time.Duration, float64) { return 3 * time.Second, 4 },
+		RouteName:   func(_, target string) string { return target },
+		AllowResend: func(context.Context, string) bool { return false },
+		OnChange:    func() {}, OnCrash: func(_ string, f [][]byte) { crashed <- len(f) },
 		Logger: log.NewNopLogger(), Metrics: NewMetrics(metrics.NewRegistry()),
 	})
 }
@@ -408,3 +410,37 @@
 	require.EqualValues(t, 200, head.GetStatus())
 	require.Equal(t, "hello", body)
 }
+
+// Guards against resends on a new connection that the retry budget of the fleet does not
+// know: the backend server may count each as a further arrival.
+func TestResendOnNewConnectionTakesFromRetryBudget(t *testing.T) {
+	for name, allowed := range map[string]bool{"allowed": true, "used up": false} {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			s := newTestBackend(t, func(conn net.Conn, r *http.Request) {
+				if n.Add(1) == 2 {
+					conn.Close() // The connection that was reused.
+					return
+				}
+				respondOK(conn, r)
+			})
+			o := newOwner(t, nil)
+			asked := 0
+			o.cfg.AllowResend = func(_ context.Context, service string) bool {
+				require.Equal(t, "orders", service)
+				asked++
+				return allowed
+			}
+			require.NoError(t, o.Announce(announcement(s)))
+			_, _, err := sendOffer(o, newOffer("a"))
+			require.Nil(t, err)
+			_, _, err = sendOffer(o, newOffer("b"))
+			require.Equal(t, allowed, err == nil)
+			require.Equal(t, 1, asked)
+			if !allowed {
+				require.Equal(t, CodeBackendLost, err.Code)
+				require.EqualValues(t, 2, s.requests.Load())
+			}
+		})
+	}
+}
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -289,7 +289,7 @@
 	}
 	req := &h1.UpstreamRequest{
 		Method: r.offer.GetMethod(), Target: r.offer.GetTarget(), Host: r.offer.GetHost(),
-		Header: wire.HeaderFromFields(r.offer.GetFields()), Body: body, ID: r.offer.GetRequestId(), Retryable: r.offer.GetIdempotent(),
+		Header: wire.HeaderFromFields(r.offer.GetFields()), Body: body, ID: r.offer.GetRequestId(), AllowResend: func() bool { return r.offer.GetIdempotent() && o.cfg.AllowResend(r.ctx, r.offer.GetService()) },
 	}
 	if !r.offer.GetIdempotent() {
 		req.MaxIdle = maxNonIdempotentIdle
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -179,6 +179,7 @@
 	n.owner = owner.New(owner.Config{
 		Bounds: s.Bounds, Heartbeat: s.Heartbeat, ColdStart: n.coldStart, RouteName: n.routeName, Logger: n.logger, Metrics: owner.NewMetrics(n.registry), Recovery: n.recovery,
 		MaxResponseBytes: s.MemoryBytes / memoryPerResponse,
+		AllowResend:      func(ctx context.Context, service string) bool { return n.limiter.TakeRetry(ctx, service, true) },
 		OnChange:         func() { n.fleet.Publish() },
 		OnCrash: func(incarnation string, fingerprints [][]byte) {
 			n.fleet.ReportCrash(context.Background(), incarnation, fingerprints)
