A backend server that leaves before its takeover is not used

Cause: a process that has just started acknowledged the DELETE of a backend server that it did not know yet, and then took that backend server over from the row of the earlier process. TestLeaveBeforeTakeOverIsRemembered failed before (Serving was true). Ruled out: the row of the earlier process (it stated that it serves, which was true), late heartbeats (none in the log).

--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -88,7 +88,7 @@
 	stopping, zoneEvacuated bool
 	running                 int
 	// leavingBackendID is the ID of a backend server that has announced its departure
-	// to an earlier process.
+	// to an earlier process, or to this one before it knew the backend server.
 	leavingBackendID string
 	outbound         outboundCalls
 }
@@ -271,9 +271,12 @@
 	o.mu.Lock()
 	b := o.backend
 	matches := b != nil && b.announcement.ID == id
-	if matches {
+	switch {
+	case matches:
 		b.leaving = true
 		o.updateGateState()
+	case b == nil:
+		o.leavingBackendID = id // This process may still take it over from the earlier one.
 	}
 	o.mu.Unlock()
 	o.cfg.Logger.Log("event", "backend server leaves", "backend", id, "known", matches)
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -444,3 +444,20 @@
 		})
 	}
 }
+
+// Guards against a backend server that is used after it has left: it tells a process that
+// has just started, before that process takes it over from the earlier one.
+func TestLeaveBeforeTakeOverIsRemembered(t *testing.T) {
+	s := newTestBackend(t, respondOK)
+	o := newOwner(t, nil)
+	require.NoError(t, o.Leave("i-1"))
+	o.TakeOver(announcement(s))
+	status, known := o.Status()
+	require.True(t, known)
+	require.False(t, status.Serving)
+	require.True(t, status.Leaving, "the next process must know it too")
+	_, _, err := sendOffer(o, newOffer("a"))
+	require.NotNil(t, err)
+	require.Equal(t, verdict.NotRun, err.Verdict)
+	require.Zero(t, s.requests.Load())
+}
