--- a/cmd/trefoildock/metrics_page_test.go
+++ b/cmd/trefoildock/metrics_page_test.go
@@ -13,6 +13,7 @@
 	"trefoildock.example/configstore"
 	"trefoildock.example/mesh/entry"
 	"trefoildock.example/mesh/owner"
+	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/node"
 	"trefoildock.example/platform/memory"
 	"trefoildock.example/settings"
@@ -45,6 +46,7 @@
 	registry := metrics.NewRegistry()
 	entry.NewMetrics(registry)
 	owner.NewMetrics(registry)
+	recovery.New(log.NewNopLogger(), registry)
 	registered := []string{"trefoildock_store_malformed"}
 	registry.Each(func(name string, _ any) {
 		registered = append(registered, "trefoildock_"+strings.ReplaceAll(name, ".", "_"))
