--- a/mesh/process/relay_test.go
+++ b/mesh/process/relay_test.go
@@ -1,18 +1,14 @@
 package process
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
-	"trefoildock.example/platform"
 	"trefoildock.example/standin/rowstore"
 	"trefoildock.example/wire"
 )
@@ -43,25 +39,7 @@
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
 	t.Cleanup(srv.CloseClientConnections)
-	s := &platform.Settings{
-		Node: name, Zone: "z", IP: "127.0.0.1", BackendAddress: "127.0.0.1:1", BackendService: "orders",
-		Heartbeat: time.Second, StoreAddress: strings.TrimPrefix(srv.URL, "http://"),
-		Bounds: platform.Bounds{RevocationDeadline: 5 * time.Second, RetryBudgetWindow: 10 * time.Second, RateWindow: 5 * time.Second},
-	}
-	listeners := make(openListeners)
-	_, s.FirstLinkPort = listeners.open(t)
-	s.ListenCallers, _ = listeners.open(t)
-	s.ListenReady, _ = listeners.open(t)
-	s.ListenAnnounce, _ = listeners.open(t)
-	n, err := New(Config{Settings: s, Logger: log.NewNopLogger(), Listen: listeners.listen})
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	t.Cleanup(func() { cancel(); require.NoError(t, <-done) })
-	require.NoError(t, n.Announce(platform.Announcement{
-		ID: "i-" + name, Service: "orders", Address: s.BackendAddress, Slots: 1, Sequence: 1, StartedAt: time.UnixMilli(1),
-	}))
+	n, _, _ := startServingNode(t, name, srv.URL, "http://127.0.0.1:1")
 	return n
 }
 
