One place each for the order of revisions, the readers of a zone and the answer after a panic

Found when the change was read again: rowTable.put repeated the comparison in merge, isReader that in isReaderOfZone, and the answer after a panic stood in entry and process.

--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -73,7 +73,7 @@
 func (e *Entry) startAttempt(ctx context.Context, q *request) <-chan outcome {
 	out := make(chan outcome, 1)
 	go func() {
-		o := outcome{err: errPanic}
+		o := outcome{err: ErrPanic}
 		e.cfg.Recovery.Do("attempt", q.id, func() { o.resp, o.err = e.attempt(ctx, q) })
 		out <- o
 	}()
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -109,7 +109,7 @@
 	q := &request{Request: r, id: e.headers.RequestID(r.Header), view: e.cfg.Fleet.View(), tried: make(map[string]bool)}
 	e.cfg.Metrics.Requests.Inc(1)
 	var resp *h1.Response
-	err := errPanic
+	err := error(ErrPanic)
 	e.cfg.Recovery.Do("entry", q.id, func() { resp, err = e.handle(ctx, q) })
 	if err != nil {
 		resp = e.failureResponse(q, verdict.FromError(err))
@@ -121,8 +121,8 @@
 	return resp
 }
 
-// errPanic is the result of a request whose handling has panicked.
-var errPanic error = &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: "internal-error", Detail: "the proxy failed to handle the request"}
+// ErrPanic is the result of a request whose handling has panicked.
+var ErrPanic = &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: "internal-error", Detail: "the proxy failed to handle the request"}
 
 // isOutboundCall reports whether the request is an outbound call of the backend
 // server on this VM. Only the routes of outbound calls need no key.
--- a/mesh/fleet/readers.go
+++ b/mesh/fleet/readers.go
@@ -242,7 +242,7 @@
 
 // isReader reports whether this node watches the store for its zone.
 func (s *State) isReader() bool {
-	return s.membersLoaded.Load() && s.ownRank(s.rankInZone()) < readersPerZone
+	return s.membersLoaded.Load() && s.isReaderOfZone(s.cfg.Self.Node)
 }
 
 // isReaderOfZone reports whether a node of the zone is one of its readers.
--- a/mesh/fleet/rows.go
+++ b/mesh/fleet/rows.go
@@ -31,11 +31,9 @@
 		newer = t.markMissingRemoved(c)
 	}
 	for _, row := range c.Rows {
-		if current, ok := t.rows[row.Key]; ok && current.Revision >= row.Revision {
-			continue
+		if t.put(row) {
+			newer = append(newer, row)
 		}
-		t.rows[row.Key] = row
-		newer = append(newer, row)
 	}
 	if !t.loaded {
 		t.loaded, t.historyStart = true, c.Revision
@@ -44,15 +42,17 @@
 	return newer
 }
 
-// put applies a row that this node has written. The copy may still lack other changes up
-// to its revision.
-func (t *rowTable) put(row platform.Change) {
+// put applies a row if it is newer than the one in the copy, and reports whether it is. The
+// revision of the copy stays, because other rows may have changed up to that of the row.
+func (t *rowTable) put(row platform.Change) bool {
 	if t.rows == nil {
 		t.rows = make(map[string]platform.Change)
 	}
-	if current, ok := t.rows[row.Key]; !ok || current.Revision < row.Revision {
-		t.rows[row.Key] = row
+	if current, ok := t.rows[row.Key]; ok && current.Revision >= row.Revision {
+		return false
 	}
+	t.rows[row.Key] = row
+	return true
 }
 
 // markMissingRemoved marks the rows that are missing from a newer snapshot as removed.
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -266,7 +266,7 @@
 // of the entry's own recovery.
 func (n *Node) refuseAfterPanic(cause any) *h1.Response {
 	n.recovery.Record("callers", "", cause)
-	return entry.ErrorResponse(&verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: "internal-error", Detail: "the proxy failed to handle the request"})
+	return entry.ErrorResponse(entry.ErrPanic)
 }
 
 // publishedBackend returns the backend server for the row of this node in the store.
