--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -74,7 +74,7 @@
 // waiting for a change. It returns false if the configuration of this node was
 // never confirmed.
 func (s *State) HandleFollow(ctx context.Context, req FollowRequest) (FollowResponse, bool) {
-	received := clock.Now()
+	received := s.cfg.Clock()
 	if req.UnreachableAddress != "" && req.UnreachableAddress == s.View().Coordinator.Address {
 		s.cfg.OnCoordinatorUnreachable(req.UnreachableAddress)
 	}
@@ -89,7 +89,7 @@
 	if !ok {
 		return FollowResponse{}, false
 	}
-	response := FollowResponse{Age: age, Waited: clock.Now().Sub(received), Reader: s.knownReader()}
+	response := FollowResponse{Age: age, Waited: s.cfg.Clock().Sub(received), Reader: s.knownReader()}
 	if req.Probe {
 		return response, true
 	}
@@ -99,6 +99,8 @@
 		}
 		if response.ConfigVersion > req.ConfigVersion {
 			response.Document = s.document
+			s.cfg.Metrics.ConfigsSent.Inc(1)
+			s.cfg.Metrics.ConfigBytesSent.Inc(int64(len(s.document)))
 		}
 		response.OperatorRevision, response.EvacuatedZones = s.operatorRevision, slices.Sorted(maps.Keys(s.evacuatedZones))
 		response.Members.Rows, response.Full = s.table.since(req.MembersRevision)
@@ -147,14 +149,14 @@
 	return req
 }
 
-// applyResponse applies the changes that another node returned. sent is the time at
-// which the request was sent.
-func (s *State) applyResponse(ctx context.Context, response FollowResponse, sent clock.Instant) {
+// applyResponse applies the changes that the node at an address returned. sent is the
+// time at which the request was sent.
+func (s *State) applyResponse(ctx context.Context, address string, response FollowResponse, sent clock.Instant) {
 	if response.Coordinator != (Peer{}) {
 		s.cfg.OnCoordinator(response.Coordinator)
 	}
 	s.runAndWait(ctx, func() {
-		changed := response.Document != nil && s.applyConfig(response.Document)
+		changed := response.Document != nil && s.applyConfig(response.Document, address)
 		if response.OperatorRevision > s.operatorRevision {
 			s.operatorRevision = response.OperatorRevision
 			changed = s.replaceEvacuatedZones(response.EvacuatedZones) || changed
@@ -215,11 +217,11 @@
 func (s *State) pollPeer(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
 	defer cancel()
-	sent := clock.Now()
+	sent := s.cfg.Clock()
 	response, err := s.cfg.QueryPeer(ctx, address, s.followRequest())
 	if err != nil {
 		return // The next poll queries other nodes.
 	}
 	s.offerHint(response.Reader, response.Age)
-	s.applyResponse(ctx, response, sent)
+	s.applyResponse(ctx, address, response, sent)
 }
--- a/mesh/fleet/readers.go
+++ b/mesh/fleet/readers.go
@@ -199,7 +199,7 @@
 	req.Wait = wait
 	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
 	defer cancel()
-	sent := clock.Now()
+	sent := s.cfg.Clock()
 	response, err := s.cfg.QueryPeer(ctx, m.Address, req)
 	if err != nil {
 		return err
@@ -207,7 +207,7 @@
 	if response.Age >= followMaxAge {
 		return errors.Newf("last confirmation of the followed node is %s old", response.Age)
 	}
-	s.applyResponse(ctx, response, sent)
+	s.applyResponse(ctx, m.Address, response, sent)
 	return nil
 }
 
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"trefoildock.example/mesh/clock"
 	"trefoildock.example/mesh/recovery"
@@ -79,6 +80,10 @@
 	Logger log.Logger
 	// Recovery records panics; nil means that they are recovered without a record.
 	Recovery *recovery.Recorder
+	// Metrics may be nil.
+	Metrics *Metrics
+	// Clock replaces the boot-time clock; nil means clock.Now.
+	Clock func() clock.Instant
 }
 
 // State is the copy of the fleet state that a node maintains.
@@ -119,8 +124,14 @@
 
 // New returns an empty state.
 func New(cfg Config) *State {
+	if cfg.Metrics == nil {
+		cfg.Metrics = NewMetrics(metrics.NewRegistry())
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Now
+	}
 	s := &State{
-		cfg: cfg, tasks: make(chan func(), 64), publishSignal: make(chan struct{}, 1), stopped: make(chan struct{}),
+		cfg: cfg, storeClock: storeClock{clock: cfg.Clock}, tasks: make(chan func(), 64), publishSignal: make(chan struct{}, 1), stopped: make(chan struct{}),
 		evacuatedZones: make(map[string]bool), members: make(map[string]*Member), crashes: make(map[string]crashRecord),
 	}
 	s.storeGate.close() // Until the node finds that it must read the store itself.
@@ -159,7 +170,7 @@
 	if at == 0 {
 		return 0, false
 	}
-	return clock.Now().Sub(clock.Instant(at)), true
+	return s.cfg.Clock().Sub(clock.Instant(at)), true
 }
 
 // StoreNow returns an estimate of the store's clock that is never ahead of it.
@@ -259,7 +270,7 @@
 			s.setZoneEvacuated(zone, !row.Removed, &changed)
 		}
 		if platform.IsConfig(row.Key) && !row.Removed {
-			changed = s.applyConfig(row.Value) || changed
+			changed = s.applyConfig(row.Value, "store") || changed
 		}
 	}
 	if changed {
@@ -282,8 +293,8 @@
 }
 
 // applyConfig applies a configuration if it is newer than the current one, and
-// reports whether it did.
-func (s *State) applyConfig(document []byte) bool {
+// reports whether it did. source names the node that sent it, or the store.
+func (s *State) applyConfig(document []byte, source string) bool {
 	next, err := platform.DecodeConfig(document)
 	if err != nil {
 		s.cfg.Logger.Log("event", "configuration refused", "err", err)
@@ -297,7 +308,8 @@
 	}
 	s.config = next
 	s.document = document
-	s.cfg.Logger.Log("event", "configuration in force", "version", next.Version)
+	s.cfg.Metrics.ConfigVersion.Update(int64(next.Version))
+	s.cfg.Logger.Log("event", "configuration in force", "version", next.Version, "bytes", len(document), "source", source)
 	return true
 }
 
--- a/mesh/fleet/storeclock.go
+++ b/mesh/fleet/storeclock.go
@@ -11,6 +11,8 @@
 // store time in a response is always earlier than the arrival of the response, so the
 // smallest observed difference is the most accurate.
 type storeClock struct {
+	clock func() clock.Instant
+
 	mu        sync.Mutex
 	hasOffset bool
 	// offset is the local clock minus the store's clock. The estimate is never below
@@ -25,7 +27,7 @@
 // observe records the store time of a response that has just arrived, and returns an
 // estimate of the local instant at which the store read it.
 func (c *storeClock) observe(store time.Duration) clock.Instant {
-	now := clock.Now()
+	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	offset := time.Duration(now) - store
@@ -37,7 +39,7 @@
 
 // now returns an estimate of the store's clock that is never ahead of it.
 func (c *storeClock) now() (time.Duration, bool) {
-	now := clock.Now()
+	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return time.Duration(now) - c.offset, c.hasOffset
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -196,7 +196,7 @@
 				n.lease.MarkUnreachable(p)
 			}
 		},
-		OnView: n.applyView, Logger: n.logger, Recovery: n.recovery,
+		OnView: n.applyView, Logger: n.logger, Recovery: n.recovery, Metrics: fleet.NewMetrics(n.registry),
 	})
 	n.lease = &quota.LeaseManager{
 		Self: quota.Peer{Node: s.Node, Address: n.advertised}, Table: n.newRelayedTable(leaseTable), Logger: n.logger,
