--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -43,7 +43,9 @@
 	// Waited is the time from the receipt of the request to the response.
 	Waited        time.Duration
 	ConfigVersion uint64
-	// Document is the configuration if it is newer than that of the requesting node.
+	// Steps lead to the document of the configuration if it is newer than that of the
+	// requesting node. Document is set in place of them if the node does not accept steps.
+	Steps    []ConfigStep
 	Document []byte
 	// OperatorRevision is the revision of EvacuatedZones.
 	OperatorRevision uint64
@@ -66,6 +68,8 @@
 	CoordinatorAddress, UnreachableAddress string
 	// Wait is how long the queried node may wait for a change before it responds.
 	Wait time.Duration
+	// AcceptsSteps means that the configuration may be sent as steps.
+	AcceptsSteps bool
 	// Probe requests only the age of the confirmation and the reader.
 	Probe bool
 }
@@ -98,9 +102,7 @@
 			response.ConfigVersion = s.config.Version
 		}
 		if response.ConfigVersion > req.ConfigVersion {
-			response.Document = s.document
-			s.cfg.Metrics.ConfigsSent.Inc(1)
-			s.cfg.Metrics.ConfigBytesSent.Inc(int64(len(s.document)))
+			s.addConfig(&response, req)
 		}
 		response.OperatorRevision, response.EvacuatedZones = s.operatorRevision, slices.Sorted(maps.Keys(s.evacuatedZones))
 		response.Members.Rows, response.Full = s.table.since(req.MembersRevision)
@@ -109,6 +111,23 @@
 	return response, true
 }
 
+// addConfig adds the configuration to a response, as steps if the requesting node accepts
+// them.
+func (s *State) addConfig(response *FollowResponse, req FollowRequest) {
+	size := 0
+	if req.AcceptsSteps {
+		response.Steps = s.documents.since(req.ConfigVersion)
+		for _, step := range response.Steps {
+			size += len(step.Patch)
+		}
+	} else {
+		response.Document = s.documents.document
+		size = len(response.Document)
+	}
+	s.cfg.Metrics.ConfigsSent.Inc(1)
+	s.cfg.Metrics.ConfigBytesSent.Inc(int64(size))
+}
+
 // firstConfirmationWait is how long a node that starts lets other nodes wait for its
 // first confirmation. It is below peerPollTimeout.
 const firstConfirmationWait = 250 * time.Millisecond
@@ -142,7 +161,7 @@
 // followRequest returns a request with the revisions of the current view.
 func (s *State) followRequest() FollowRequest {
 	v := s.View()
-	req := FollowRequest{OperatorRevision: v.operatorRevision, MembersRevision: v.Revision, CoordinatorAddress: v.Coordinator.Address, UnreachableAddress: s.cfg.UnreachableAddress()}
+	req := FollowRequest{AcceptsSteps: !s.refuseSteps.Load(), OperatorRevision: v.operatorRevision, MembersRevision: v.Revision, CoordinatorAddress: v.Coordinator.Address, UnreachableAddress: s.cfg.UnreachableAddress()}
 	if v.Config != nil {
 		req.ConfigVersion = v.Config.Version
 	}
@@ -156,7 +175,8 @@
 		s.cfg.OnCoordinator(response.Coordinator)
 	}
 	s.runAndWait(ctx, func() {
-		changed := response.Document != nil && s.applyConfig(response.Document, address)
+		document := s.documentOf(response, address)
+		changed := document != nil && s.applyConfig(document, address)
 		if response.OperatorRevision > s.operatorRevision {
 			s.operatorRevision = response.OperatorRevision
 			changed = s.replaceEvacuatedZones(response.EvacuatedZones) || changed
@@ -174,6 +194,19 @@
 	})
 }
 
+// documentOf returns the document of a response, or nil if it contains none that is newer.
+func (s *State) documentOf(response FollowResponse, address string) []byte {
+	if len(response.Steps) == 0 || s.config != nil && s.config.Version >= response.ConfigVersion {
+		return response.Document
+	}
+	document, err := s.documents.apply(response.Steps)
+	if err != nil {
+		s.refuseSteps.Store(true) // The next response contains the whole document.
+		s.cfg.Logger.Log("event", "steps of the configuration refused", "source", address, "version", response.ConfigVersion, "err", err)
+	}
+	return document
+}
+
 func (s *State) replaceEvacuatedZones(names []string) bool {
 	evacuated := make(map[string]bool, len(names))
 	for _, name := range names {
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -98,6 +98,9 @@
 	storeUnavailable atomic.Bool
 	// membersLoaded is set once the members were read.
 	membersLoaded atomic.Bool
+	// refuseSteps is set after steps of the configuration did not match, until the next
+	// configuration is applied.
+	refuseSteps atomic.Bool
 	// storeGate is closed while this node follows another node instead of the store.
 	storeGate gate
 
@@ -113,7 +116,7 @@
 
 	// Only the event loop accesses the fields below.
 	config           *routing.Config
-	document         []byte
+	documents        configHistory
 	evacuatedZones   map[string]bool
 	operatorRevision uint64
 	table            rowTable
@@ -307,7 +310,8 @@
 		return false
 	}
 	s.config = next
-	s.document = document
+	s.documents.add(next.Version, document)
+	s.refuseSteps.Store(false)
 	s.cfg.Metrics.ConfigVersion.Update(int64(next.Version))
 	s.cfg.Logger.Log("event", "configuration in force", "version", next.Version, "bytes", len(document), "source", source)
 	return true
--- a/mesh/process/calls.go
+++ b/mesh/process/calls.go
@@ -191,7 +191,7 @@
 func (n *Node) handleFollow(f *wire.Follow) *wire.FollowAnswer {
 	response, ok := n.fleet.HandleFollow(context.Background(), fleet.FollowRequest{
 		ConfigVersion: f.GetConfigVersion(), OperatorRevision: f.GetOperatorRevision(),
-		MembersRevision: f.GetMembersRevision(), CoordinatorAddress: f.GetHomeAddress(), UnreachableAddress: f.GetLostHome(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond, Probe: f.GetProbe(),
+		MembersRevision: f.GetMembersRevision(), CoordinatorAddress: f.GetHomeAddress(), UnreachableAddress: f.GetLostHome(), Wait: time.Duration(f.GetWaitUs()) * time.Microsecond, Probe: f.GetProbe(), AcceptsSteps: f.GetAcceptsSteps(),
 	})
 	if !ok {
 		return &wire.FollowAnswer{AgeUs: -1}
@@ -202,6 +202,9 @@
 		HomeNode: response.Coordinator.Node, HomeAddress: response.Coordinator.Address,
 		ReaderNode: response.Reader.Node, ReaderAddress: response.Reader.Address,
 	}
+	for _, step := range response.Steps {
+		out.Steps = append(out.Steps, &wire.ConfigStep{From: step.From, To: step.To, Patch: step.Patch})
+	}
 	for _, row := range response.Members.Rows {
 		out.Rows = append(out.Rows, &wire.StoredRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Removed: row.Removed})
 	}
@@ -212,7 +215,7 @@
 func (n *Node) queryPeer(ctx context.Context, address string, req fleet.FollowRequest) (fleet.FollowResponse, error) {
 	a, err := n.links.Call(ctx, address, &wire.Call{Body: &wire.Call_Follow{Follow: &wire.Follow{
 		ConfigVersion: req.ConfigVersion, OperatorRevision: req.OperatorRevision,
-		MembersRevision: req.MembersRevision, HomeAddress: req.CoordinatorAddress, LostHome: req.UnreachableAddress, WaitUs: req.Wait.Microseconds(), Probe: req.Probe,
+		MembersRevision: req.MembersRevision, HomeAddress: req.CoordinatorAddress, LostHome: req.UnreachableAddress, WaitUs: req.Wait.Microseconds(), Probe: req.Probe, AcceptsSteps: req.AcceptsSteps,
 	}}})
 	if err != nil {
 		return fleet.FollowResponse{}, err
@@ -227,6 +230,9 @@
 		Coordinator: fleet.Peer{Node: f.GetHomeNode(), Address: f.GetHomeAddress()},
 		Reader:      fleet.Peer{Node: f.GetReaderNode(), Address: f.GetReaderAddress()},
 	}
+	for _, step := range f.GetSteps() {
+		response.Steps = append(response.Steps, fleet.ConfigStep{From: step.GetFrom(), To: step.GetTo(), Patch: step.GetPatch()})
+	}
 	response.Members.Revision = f.GetMembersRevision()
 	for _, row := range f.GetRows() {
 		response.Members.Rows = append(response.Members.Rows, platform.Change{
