--- a/mesh/fleet/deadline_test.go
+++ b/mesh/fleet/deadline_test.go
@@ -46,7 +46,7 @@
 }
 
 // disturb starts the freeze or the partition of a node, more often of one that reads the
-// store, or sometimes an outage of the store.
+// store, or sometimes an outage of the store for all nodes or a third of them.
 func (s *simulation) disturb() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,6 +55,10 @@
 		s.store.silentUntil, s.disturbed = until, until
 		return
 	}
+	if s.rand.IntN(20) == 0 {
+		s.cutFromStore(until.Add(2 * time.Second))
+		return
+	}
 	n := s.nodes[s.victim()]
 	switch s.rand.IntN(3) {
 	case 0:
@@ -66,6 +70,15 @@
 	}
 }
 
+// cutFromStore cuts a third of the nodes off from the store.
+func (s *simulation) cutFromStore(until time.Time) {
+	for _, n := range s.nodes {
+		if s.rand.IntN(3) == 0 {
+			n.cutUntil = until
+		}
+	}
+}
+
 func (s *simulation) victim() string {
 	var readers, all []string
 	for name, state := range s.states {
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -17,8 +17,10 @@
 	// store. The other nodes follow one of them, which costs no store calls and no
 	// traffic between zones. Two readers tolerate the loss of one.
 	readersPerZone = 2
-	// followWait is how long a followed node holds a request open until something changes.
-	followWait = time.Second
+	// followWait is how long a followed node holds a request open until something changes
+	// or the store confirms its configuration again. It is above operatorWatchWait, so that
+	// a confirmation reaches the followers as soon as the reader has it.
+	followWait = operatorWatchWait + 50*time.Millisecond
 	// followTimeout bounds one follow request in addition to its wait.
 	followTimeout = 350 * time.Millisecond
 	// followMaxAge is the age of the followed node's confirmation from which the
@@ -27,11 +29,14 @@
 	// configuration within 2 s even if its reader is cut off from the store.
 	followMaxAge = 1300 * time.Millisecond
 	// peerPollAge is the age of this node's confirmation from which it polls nodes of
-	// any zone.
-	peerPollAge = 2 * time.Second
+	// any zone. It is slightly above the time in which a reader and its followers are
+	// confirmed, and does not depend on the sources that this node has tried since: the
+	// timeouts of sources that fail one after another would add up past 2 s, the time in
+	// which a configuration must be in force.
+	peerPollAge = operatorWatchWait + 250*time.Millisecond
 	// peerPollInterval is the time between two polls, peersPerPoll the number of nodes
 	// queried in one poll, and peerPollTimeout the timeout of one query.
-	peerPollInterval = 400 * time.Millisecond
+	peerPollInterval = 200 * time.Millisecond
 	peersPerPoll     = 3
 	peerPollTimeout  = 350 * time.Millisecond
 )
@@ -75,7 +80,7 @@
 }
 
 // HandleFollow returns the changes since the revisions of another node, after
-// waiting for a change. It returns false if the configuration of this node was
+// waiting for a change or a confirmation by the store. It returns false if the configuration of this node was
 // never confirmed.
 func (s *State) HandleFollow(ctx context.Context, req FollowRequest) (FollowResponse, bool) {
 	received := s.cfg.Clock()
@@ -142,9 +147,10 @@
 }
 
 // awaitChange returns when this node has newer revisions or a newer coordinator than
-// those in req, or ctx ends.
+// those in req, when its configuration is confirmed again, or when ctx ends.
 func (s *State) awaitChange(ctx context.Context, req FollowRequest) {
-	for ctx.Err() == nil {
+	confirmed := s.confirmed.Load()
+	for ctx.Err() == nil && s.confirmed.Load() == confirmed {
 		changed := *s.changed.Load()
 		own := s.followRequest()
 		if own.ConfigVersion > req.ConfigVersion || own.OperatorRevision > req.OperatorRevision || own.MembersRevision > req.MembersRevision ||
@@ -247,14 +253,28 @@
 	}
 }
 
+// pollPeer asks a node for the age of its confirmation, and for its state if that is more
+// recent than the state of this node. While this node has no configuration, it asks one
+// node at a time, because each would send the whole document.
 func (s *State) pollPeer(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
 	defer cancel()
-	sent := s.cfg.Clock()
-	response, err := s.cfg.QueryPeer(ctx, address, s.followRequest())
+	response, err := s.cfg.QueryPeer(ctx, address, FollowRequest{Probe: true})
 	if err != nil {
 		return // The next poll queries other nodes.
 	}
 	s.offerHint(response.Reader, response.Age)
+	switch age, known := s.ConfirmationAge(); {
+	case known && response.Age >= age:
+		return
+	case !known && !s.fetching.CompareAndSwap(false, true):
+		return
+	case !known:
+		defer s.fetching.Store(false)
+	}
+	sent := s.cfg.Clock()
+	if response, err = s.cfg.QueryPeer(ctx, address, s.followRequest()); err != nil {
+		return
+	}
 	s.applyResponse(ctx, address, response, sent)
 }
--- a/mesh/fleet/readers.go
+++ b/mesh/fleet/readers.go
@@ -99,7 +99,7 @@
 	}
 	interval := searchInterval
 	switch {
-	case s.replacesReader():
+	case s.hasStore():
 		interval = readerCheckInterval
 	case elapsed > maxTakeoverDelay:
 		interval = maxSearchInterval
@@ -116,11 +116,11 @@
 	s.storeGate.open()
 }
 
-// replacesReader reports whether this node reads the store, although it is not a reader of
-// its zone, and succeeds.
-func (s *State) replacesReader() bool {
-	age, known := s.ConfirmationAge()
-	return s.ReadsStore() && !s.storeUnavailable.Load() && known && age < followMaxAge
+// hasStore reports whether this node reads the store and received a confirmation from it
+// recently. A node that has only begun to read it can serve no follower yet.
+func (s *State) hasStore() bool {
+	at := s.confirmedByStore.Load()
+	return s.ReadsStore() && !s.storeUnavailable.Load() && at != 0 && s.cfg.Clock().Sub(clock.Instant(at)) < followMaxAge
 }
 
 func (s *State) takeoverDelay() time.Duration {
@@ -136,12 +136,12 @@
 	return Peer{}
 }
 
-// knownReader returns this node if it reads the store, or the node that it follows.
+// knownReader returns this node if it has the store, or the node that it follows.
 func (s *State) knownReader() Peer {
 	if p := s.followed.Load(); p != nil {
 		return *p
 	}
-	if s.ReadsStore() && !s.storeUnavailable.Load() {
+	if s.hasStore() {
 		return Peer{Node: s.cfg.Self.Node, Address: s.cfg.Self.Address}
 	}
 	return Peer{}
@@ -159,7 +159,7 @@
 	switch {
 	case rank < 0 || rank == own:
 		return
-	case s.replacesReader() && rank > own:
+	case s.hasStore() && rank > own:
 		return // Of several nodes that replace readers, the first one remains.
 	case s.followed.Load() != nil && rank >= readersPerZone:
 		return // The current source is as good.
@@ -197,7 +197,7 @@
 func (s *State) followOnce(ctx context.Context, m *Member, wait time.Duration) error {
 	req := s.followRequest()
 	req.Wait = wait
-	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+followTimeout)
 	defer cancel()
 	sent := s.cfg.Clock()
 	response, err := s.cfg.QueryPeer(ctx, m.Address, req)
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -91,7 +91,11 @@
 	cfg       Config
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64 // clock.Instant; 0 before the first confirmation
-	// changed is closed and replaced when a new view is published.
+	// confirmedByStore is the last confirmation that this node received from the store
+	// itself.
+	confirmedByStore atomic.Int64
+	// changed is closed and replaced when a new view is published or the configuration
+	// is confirmed.
 	changed    atomic.Pointer[chan struct{}]
 	storeClock storeClock
 	// storeUnavailable is set if the last call for the operator's table failed.
@@ -101,6 +105,8 @@
 	// refuseSteps is set after steps of the configuration did not match, until the next
 	// configuration is applied.
 	refuseSteps atomic.Bool
+	// fetching is set while a node without a configuration asks a polled node for it.
+	fetching atomic.Bool
 	// storeGate is closed while this node follows another node instead of the store.
 	storeGate gate
 
@@ -244,7 +250,11 @@
 func (s *State) confirm(at clock.Instant) {
 	for {
 		previous := s.confirmed.Load()
-		if int64(at) <= previous || s.confirmed.CompareAndSwap(previous, int64(at)) {
+		if int64(at) <= previous {
+			return
+		}
+		if s.confirmed.CompareAndSwap(previous, int64(at)) {
+			s.signalChange()
 			return
 		}
 	}
@@ -400,7 +410,11 @@
 		}
 	}
 	s.view.Store(v)
+	s.signalChange()
+	s.cfg.OnView(v)
+}
+
+func (s *State) signalChange() {
 	next := make(chan struct{})
 	close(*s.changed.Swap(&next))
-	s.cfg.OnView(v)
 }
--- a/mesh/fleet/watch.go
+++ b/mesh/fleet/watch.go
@@ -18,7 +18,11 @@
 	s.retryWhileOpen(ctx, "operator", func(ctx context.Context) error {
 		callCtx, cancel := cancelOn(ctx, refreshOperator)
 		defer cancel()
-		changes, err := s.readOrWatch(callCtx, s.cfg.Operator, &reload, after, operatorWatchWait)
+		// The older the confirmation, the sooner the store must respond: at once after an
+		// outage or when this node begins to read the store.
+		age, _ := s.ConfirmationAge()
+		wait := max(0, operatorWatchWait-age)
+		changes, err := s.readOrWatch(callCtx, s.cfg.Operator, &reload, after, wait)
 		if err != nil && callCtx.Err() != nil {
 			return nil // Canceled by watchMembers or because this node follows another one.
 		}
@@ -31,6 +35,7 @@
 		after, reload = changes.Revision, false
 		s.storeUnavailable.Store(false)
 		at := s.storeClock.observe(changes.StoreTime)
+		s.confirmedByStore.Store(int64(at))
 		s.runAndWait(ctx, func() { s.applyOperator(changes, full); s.confirm(at) })
 		return nil
 	})
--- a/mesh/patch/patch_test.go
+++ b/mesh/patch/patch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -23,7 +24,7 @@
 
 func TestPatchRestoresDocument(t *testing.T) {
 	many := rows(1400)
-	added, removed, moved := append(rows(1400), `["new","h","/n/","safe",1]`), many[1:], append(rows(1400)[700:], many[:700]...)
+	added, removed, moved := append(rows(1400), `["new","h","/n/","safe",1]`), many[1:], slices.Concat(many[700:], many[:700])
 	onePercent := len(table(many...)) / 100
 	for _, c := range []struct {
 		name         string
