--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -461,3 +461,29 @@
 	require.Equal(t, verdict.NotRun, err.Verdict)
 	require.Zero(t, s.requests.Load())
 }
+
+// Guards against a backend server that gets more requests than the limit that it names in
+// its answers allows: one and a half times the limit plus 5 in any 4 s.
+func TestNamedLimitHoldsForAllRequests(t *testing.T) {
+	t.Parallel()
+	const limit, period = 2, 4 * time.Second
+	s := newTestBackend(t, func(conn net.Conn, r *http.Request) {
+		writeResponse(conn, r.Header.Get("Request-Id"), 200, fmt.Sprintf("Server-Seal: s\r\nServer-Limit: %d.0\r\n", limit), "")
+	})
+	o := newOwner(t, nil)
+	require.NoError(t, o.Announce(announcement(s)))
+	_, _, err := sendOffer(o, newOffer("first"))
+	require.Nil(t, err)
+	s.requests.Store(0)
+	refused := 0
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if _, _, err := sendOffer(o, newOffer("next")); err != nil {
+			require.Equal(t, verdict.NotRun, err.Verdict)
+			require.Positive(t, err.RetryAfter)
+			refused++
+		}
+	}
+	require.LessOrEqual(t, int(s.requests.Load()), int(1.5*limit*period.Seconds())+5)
+	require.GreaterOrEqual(t, int(s.requests.Load()), limit*int(period.Seconds())-1, "what the backend server takes is sent")
+	require.Positive(t, refused)
+}
