--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -41,6 +41,7 @@
 func (e *Entry) offer(ctx context.Context, m *fleet.Member, o *wire.Offer, deadline time.Time) (*reservation, error) {
 	offerCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	o.NamedLimit = e.peers.namedLimit(m.Node)
 	stream, err := e.openStream(offerCtx, m, o)
 	if err != nil {
 		return nil, e.unreachableError(ctx, m, codeUnreachable, err)
@@ -66,8 +67,12 @@
 		stream.Close()
 		e.peers.updateLoad(m.Node, b.Abort.GetLoad(), now)
 		refusal := wire.AbortError(b.Abort)
-		if refusal.Code != admission.CodeBusy && refusal.Code != admission.CodeDeadline {
-			e.peers.recordRefusal(m.Node, now)
+		switch refusal.Code {
+		case admission.CodeBusy, admission.CodeDeadline:
+		case owner.CodeLimited:
+			e.peers.recordRefusal(m.Node, now, min(refusal.RetryAfter, maxLimitedBackoff))
+		default:
+			e.peers.recordRefusal(m.Node, now, refusalBackoff)
 		}
 		return nil, refusal
 	default:
@@ -178,6 +183,9 @@
 			if b.End.GetBodyBytes() != int64(len(resp.Body)) {
 				return nil, verdict.NewMayHaveRun("answer-cut", "the answer is shorter than the owner sent it", nil)
 			}
+			if rate, _, err := e.headers.RateLimit(resp.Header); err == nil { // The owner logs a malformed limit.
+				e.peers.setNamedLimit(r.member.Node, rate)
+			}
 			return resp, nil
 		default:
 			return nil, verdict.NewMayHaveRun("protocol", "unexpected message in an answer", nil)
--- a/mesh/entry/peers.go
+++ b/mesh/entry/peers.go
@@ -18,8 +18,11 @@
 	minUnreachableBackoff = 200 * time.Millisecond
 	maxUnreachableBackoff = 3 * time.Second
 	// refusalBackoff is the time for which an owner is avoided after a refusal for a
-	// reason other than its load or the deadline of the request.
-	refusalBackoff = 300 * time.Millisecond
+	// reason other than its load or the deadline of the request. After a refusal because of
+	// a limit that its backend server has named, it is avoided until the time in the
+	// refusal, up to maxLimitedBackoff.
+	refusalBackoff    = 300 * time.Millisecond
+	maxLimitedBackoff = 2 * time.Second
 	// suspectedBackoff is the time for which an owner with a suspected backend server is
 	// avoided for requests that are not idempotent. The owner accepts these much
 	// later than idempotent ones.
@@ -47,6 +50,9 @@
 	inFlight   int // requests of this entry in flight
 	avoidUntil time.Time
 	backoff    time.Duration
+	// namedLimit is the limit, in requests per second, that the last response of the
+	// backend server has named; 0 if it has named none.
+	namedLimit float64
 	// avoidNonIdempotentUntil is like avoidUntil for requests that are not idempotent.
 	avoidNonIdempotentUntil time.Time
 }
@@ -98,14 +104,28 @@
 }
 
 // recordRefusal records that an owner refuses requests for a while.
-func (p *peers) recordRefusal(node string, now time.Time) {
+func (p *peers) recordRefusal(node string, now time.Time, backoff time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.get(node); e.avoidUntil.Before(now.Add(refusalBackoff)) {
-		e.avoidUntil = now.Add(refusalBackoff)
+	if e := p.get(node); e.avoidUntil.Before(now.Add(backoff)) {
+		e.avoidUntil = now.Add(backoff)
 	}
 }
 
+// setNamedLimit records the limit that a response of an owner's backend server has named;
+// 0 if it has named none.
+func (p *peers) setNamedLimit(node string, rate float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(node).namedLimit = rate
+}
+
+func (p *peers) namedLimit(node string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.get(node).namedLimit
+}
+
 // recordSuspected records that the backend server of an owner failed recently.
 func (p *peers) recordSuspected(node string, now time.Time) {
 	p.mu.Lock()
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -103,6 +103,10 @@
 	health       health
 	coldWindow   slidingWindow
 	coldUntil    time.Time
+	namedLimit   namedLimit
+	// answered is set once a response of the backend server has been received. Until then,
+	// the limits that entries report are used.
+	answered bool
 	// lastHeartbeat is the arrival time of the last heartbeat, lastConnectFailure
 	// the time of the last failed connection attempt.
 	lastHeartbeat, lastConnectFailure time.Time
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -487,3 +487,50 @@
 	require.GreaterOrEqual(t, int(s.requests.Load()), limit*int(period.Seconds())-1, "what the backend server takes is sent")
 	require.Positive(t, refused)
 }
+
+// Guards against an owner that forgets the limit of its backend server when its process
+// restarts, while entries have passed on answers that name it.
+func TestRestartedOwnerUsesLimitThatEntriesReport(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	s := newTestBackend(t, func(conn net.Conn, r *http.Request) {
+		<-release
+		respondOK(conn, r)
+	})
+	t.Cleanup(func() { close(release) })
+	o := newOwner(t, nil)
+	require.NoError(t, o.Announce(announcement(s)))
+	offer := newOffer("r")
+	offer.NamedLimit = 0.5
+	_, _, err := sendOffer(o, offer)
+	require.NotNil(t, err)
+	require.Equal(t, CodeLimited, err.Code)
+	require.InDelta(t, 2*time.Second, err.RetryAfter, float64(50*time.Millisecond))
+	_, _, err = sendOffer(o, newOffer("of an entry that knows no limit"))
+	require.NotNil(t, err)
+	require.Equal(t, CodeLimited, err.Code)
+	require.Zero(t, s.requests.Load())
+}
+
+// Guards against a limit that outlives the need of the backend server.
+func TestAnswerWithoutLimitEndsIt(t *testing.T) {
+	limit := "Server-Limit: 1000\r\n"
+	s := newTestBackend(t, func(conn net.Conn, r *http.Request) {
+		writeResponse(conn, r.Header.Get("Request-Id"), 200, "Server-Seal: s\r\n"+limit, "")
+	})
+	o := newOwner(t, nil)
+	require.NoError(t, o.Announce(announcement(s)))
+	rate := func() float64 {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.backend.namedLimit.rate
+	}
+	for _, c := range []struct {
+		fields string
+		rate   float64
+	}{{"Server-Limit: 1000\r\n", 1000}, {"Server-Limit: many\r\n", 1000}, {"Server-Limit: 1000\r\n", 1000}, {"", 0}} {
+		limit = c.fields
+		require.Eventually(t, func() bool { _, _, err := sendOffer(o, newOffer("r")); return err == nil }, 5*time.Second, time.Millisecond)
+		require.InDelta(t, c.rate, rate(), 0)
+	}
+}
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -22,6 +22,7 @@
 	CodeDown      = "backend-down"
 	CodeCold      = "backend-cold"
 	CodeShed      = "backend-shed"
+	CodeLimited   = "backend-limited"
 )
 
 // Failure codes of a request that may have run.
@@ -173,9 +174,20 @@
 			return nil, verdict.NewNotRun(CodeCold, "the backend server tolerates no more requests within this second", wait)
 		}
 	}
+	if rate := r.offer.GetNamedLimit(); rate > 0 && !b.answered {
+		b.namedLimit.set(now, rate)
+	}
+	if wait := b.namedLimit.waitTime(now); wait > 0 {
+		b.health.cancel(trial)
+		return nil, limitedError(wait)
+	}
 	return b, nil
 }
 
+func limitedError(wait time.Duration) error {
+	return verdict.NewNotRun(CodeLimited, "the backend server takes no more requests for now", wait)
+}
+
 // hasOverdueRequest reports whether a request in flight has far exceeded the
 // baseline latency of its route.
 func (o *Owner) hasOverdueRequest(now time.Time, b *backend) bool {
@@ -253,6 +265,9 @@
 	if limit := o.coldRateLimit(now, b); limit > 0 && !b.coldWindow.allow(now, limit) {
 		return verdict.NewNotRun(CodeCold, "the backend server tolerates no more requests within this second", b.coldWindow.waitTime(now, limit))
 	}
+	if !b.namedLimit.take(now) {
+		return limitedError(b.namedLimit.waitTime(now))
+	}
 	r.outboundWaitAtStart = o.outbound.waitTime(now)
 	r.startedAt, r.route = now, o.cfg.RouteName(r.offer.GetHost(), r.offer.GetTarget())
 	b.inFlight[r] = struct{}{}
@@ -289,7 +304,7 @@
 	}
 	req := &h1.UpstreamRequest{
 		Method: r.offer.GetMethod(), Target: r.offer.GetTarget(), Host: r.offer.GetHost(),
-		Header: wire.HeaderFromFields(r.offer.GetFields()), Body: body, ID: r.offer.GetRequestId(), AllowResend: func() bool { return r.offer.GetIdempotent() && o.cfg.AllowResend(r.ctx, r.offer.GetService()) },
+		Header: wire.HeaderFromFields(r.offer.GetFields()), Body: body, ID: r.offer.GetRequestId(), AllowResend: func() bool { return o.allowResend(r, b) },
 	}
 	if !r.offer.GetIdempotent() {
 		req.MaxIdle = maxNonIdempotentIdle
@@ -302,9 +317,48 @@
 	if err != nil {
 		return nil, o.classifyFailure(r, b, err)
 	}
+	o.observeLimit(r, b, resp)
 	return resp, o.validateResponse(r, resp)
 }
 
+// allowResend reports whether a request may be sent again on a new connection, which the
+// backend server may count as a second arrival.
+func (o *Owner) allowResend(r *activeRequest, b *backend) bool {
+	if !r.offer.GetIdempotent() {
+		return false
+	}
+	o.mu.Lock()
+	ok := b.namedLimit.take(time.Now())
+	o.mu.Unlock()
+	return ok && o.cfg.AllowResend(r.ctx, r.offer.GetService())
+}
+
+// observeLimit records the limit that a response names, or that it names none any more. A
+// response without a signature may come from elsewhere and ends no limit.
+func (o *Owner) observeLimit(r *activeRequest, b *backend, resp *h1.UpstreamResponse) {
+	rate, named, err := o.headers.RateLimit(resp.Header)
+	if err != nil {
+		o.cfg.Logger.Log("event", "limit of the backend server ignored", "request", r.offer.GetRequestId(), "backend", b.announcement.ID, "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	before := b.namedLimit.rate
+	switch {
+	case named:
+		b.namedLimit.set(time.Now(), rate)
+	case o.headers.HasSignature(resp.Header):
+		b.namedLimit = namedLimit{}
+	default:
+		return
+	}
+	b.answered = true
+	if b.namedLimit.rate != before {
+		o.cfg.Logger.Log("event", "limit of the backend server changed", "request", r.offer.GetRequestId(), "backend", b.announcement.ID,
+			"before", before, "limit", b.namedLimit.rate)
+	}
+}
+
 // classifyFailure maps a failed round trip to its verdict.
 func (o *Owner) classifyFailure(r *activeRequest, b *backend, err error) error {
 	var upstreamErr *h1.UpstreamError
