--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -534,3 +534,28 @@
 		require.InDelta(t, c.rate, rate(), 0)
 	}
 }
+
+// Guards against a backend server that gets new requests although its answers say that it
+// leaves. It may announce its departure late, or not at all.
+func TestAnswerThatSaysLeavingEndsService(t *testing.T) {
+	fields := ""
+	s := newTestBackend(t, func(conn net.Conn, r *http.Request) {
+		writeResponse(conn, r.Header.Get("Request-Id"), 200, "Server-Seal: s\r\n"+fields, "")
+	})
+	o := newOwner(t, nil)
+	changes := 0
+	o.cfg.OnChange = func() { changes++ }
+	require.NoError(t, o.Announce(announcement(s)))
+	for _, f := range []string{"", "Server-Leaving: 0\r\n", "Server-Leaving: 1\r\n"} {
+		fields = f
+		_, _, err := sendOffer(o, newOffer("r"))
+		require.Nil(t, err, f)
+	}
+	status, _ := o.Status()
+	require.True(t, status.Leaving, "the row of the node tells it to the next process")
+	require.Equal(t, 2, changes)
+	_, _, err := sendOffer(o, newOffer("late"))
+	require.NotNil(t, err)
+	require.Equal(t, verdict.NotRun, err.Verdict)
+	require.EqualValues(t, 3, s.requests.Load())
+}
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -318,9 +318,26 @@
 		return nil, o.classifyFailure(r, b, err)
 	}
 	o.observeLimit(r, b, resp)
+	o.observeLeaving(r, b, resp)
 	return resp, o.validateResponse(r, resp)
 }
 
+// observeLeaving takes the backend server out of service if a response says that it leaves.
+func (o *Owner) observeLeaving(r *activeRequest, b *backend, resp *h1.UpstreamResponse) {
+	if !o.headers.Leaving(resp.Header) {
+		return
+	}
+	o.mu.Lock()
+	known := b.leaving
+	b.leaving = true
+	o.updateGateState()
+	o.mu.Unlock()
+	if !known {
+		o.cfg.Logger.Log("event", "backend server leaves", "backend", b.announcement.ID, "request", r.offer.GetRequestId())
+		o.cfg.OnChange()
+	}
+}
+
 // allowResend reports whether a request may be sent again on a new connection, which the
 // backend server may count as a second arrival.
 func (o *Owner) allowResend(r *activeRequest, b *backend) bool {
