--- a/mesh/fleet/confighistory.go
+++ b/mesh/fleet/confighistory.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"trefoildock.example/mesh/patch"
@@ -52,7 +54,7 @@
 func (h *configHistory) since(version uint64) []ConfigStep {
 	for i, step := range h.steps {
 		if step.From == version {
-			return append([]ConfigStep(nil), h.steps[i:]...)
+			return slices.Clone(h.steps[i:])
 		}
 	}
 	if h.whole == nil {
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -34,11 +34,14 @@
 	// timeouts of sources that fail one after another would add up past 2 s, the time in
 	// which a configuration must be in force.
 	peerPollAge = operatorWatchWait + 250*time.Millisecond
-	// peerPollInterval is the time between two polls, peersPerPoll the number of nodes
-	// queried in one poll, and peerPollTimeout the timeout of one query.
-	peerPollInterval = 200 * time.Millisecond
-	peersPerPoll     = 3
-	peerPollTimeout  = 350 * time.Millisecond
+	// peerPollInterval is the time between the first two polls. It doubles up to
+	// maxPeerPollInterval until a confirmation is found, because in an outage of the store
+	// all nodes poll. peersPerPoll is the number of nodes queried in one poll, and
+	// peerPollTimeout the timeout of one query.
+	peerPollInterval    = 200 * time.Millisecond
+	maxPeerPollInterval = 400 * time.Millisecond
+	peersPerPoll        = 3
+	peerPollTimeout     = 350 * time.Millisecond
 )
 
 // FollowResponse holds the changes of the fleet state since the revisions in the request.
@@ -80,8 +83,8 @@
 }
 
 // HandleFollow returns the changes since the revisions of another node, after
-// waiting for a change or a confirmation by the store. It returns false if the configuration of this node was
-// never confirmed.
+// waiting for a change or a confirmation by the store. It returns false if the
+// configuration of this node was never confirmed.
 func (s *State) HandleFollow(ctx context.Context, req FollowRequest) (FollowResponse, bool) {
 	received := s.cfg.Clock()
 	if req.UnreachableAddress != "" && req.UnreachableAddress == s.View().Coordinator.Address {
@@ -229,14 +232,17 @@
 // pollPeersWhileStale polls nodes of any zone while this node's confirmation is
 // stale. The store may reject the calls of some VMs and serve the others.
 func (s *State) pollPeersWhileStale(ctx context.Context) {
+	interval := peerPollInterval
 	for ctx.Err() == nil {
 		age, known := s.ConfirmationAge()
 		if known && age < peerPollAge {
+			interval = peerPollInterval
 			clock.Sleep(ctx, peerPollAge-age)
 			continue
 		}
 		s.pollPeers(ctx)
-		clock.Sleep(ctx, peerPollInterval)
+		clock.Sleep(ctx, interval)
+		interval = min(2*interval, maxPeerPollInterval)
 	}
 }
 
--- a/mesh/fleet/watch.go
+++ b/mesh/fleet/watch.go
@@ -14,14 +14,15 @@
 // watch of watchMembers, because its connection may have failed without an error.
 func (s *State) watchOperator(ctx context.Context, refreshMembers chan<- struct{}, refreshOperator <-chan struct{}) {
 	var after uint64
+	var respondedAt clock.Instant // 0 before the first response
 	reload := true
 	s.retryWhileOpen(ctx, "operator", func(ctx context.Context) error {
 		callCtx, cancel := cancelOn(ctx, refreshOperator)
 		defer cancel()
-		// The older the confirmation, the sooner the store must respond: at once after an
-		// outage or when this node begins to read the store.
+		// The longer this node has had no confirmation, the sooner the store must respond: at
+		// once after an outage or when the node begins to read the store.
 		age, _ := s.ConfirmationAge()
-		wait := max(0, operatorWatchWait-age)
+		wait := max(0, operatorWatchWait-min(age, s.cfg.Clock().Sub(respondedAt)))
 		changes, err := s.readOrWatch(callCtx, s.cfg.Operator, &reload, after, wait)
 		if err != nil && callCtx.Err() != nil {
 			return nil // Canceled by watchMembers or because this node follows another one.
@@ -34,6 +35,7 @@
 		full := reload
 		after, reload = changes.Revision, false
 		s.storeUnavailable.Store(false)
+		respondedAt = s.cfg.Clock()
 		at := s.storeClock.observe(changes.StoreTime)
 		s.confirmedByStore.Store(int64(at))
 		s.runAndWait(ctx, func() { s.applyOperator(changes, full); s.confirm(at) })
