--- a/mesh/fleet/storeclock.go
+++ b/mesh/fleet/storeclock.go
@@ -9,7 +9,8 @@
 
 // storeClock relates the store's monotonic clock to the local boot-time clock. The
 // store time in a response is always earlier than the arrival of the response, so the
-// smallest observed difference is the most accurate.
+// smallest observed difference is the most accurate. The clocks drift apart, so an
+// observation becomes less accurate with time.
 type storeClock struct {
 	clock func() clock.Instant
 
@@ -18,6 +19,17 @@
 	// offset is the local clock minus the store's clock. The estimate is never below
 	// the true value.
 	offset time.Duration
+	// observedAt is when offset was observed.
+	observedAt clock.Instant
+}
+
+// maxClockDrift bounds the drift between the local clock and that of the store. Quartz
+// clocks without correction drift by up to 100 parts per million each.
+const maxClockDrift = 200e-6
+
+// bound returns the highest offset that the clocks can have now. c.mu is held.
+func (c *storeClock) bound(now clock.Instant) time.Duration {
+	return c.offset + time.Duration(maxClockDrift*float64(now.Sub(c.observedAt)))
 }
 
 // clockResetThreshold is the backward step of the store's clock above which the clock
@@ -31,10 +43,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	offset := time.Duration(now) - store
-	if !c.hasOffset || offset < c.offset || offset-c.offset > clockResetThreshold {
-		c.hasOffset, c.offset = true, offset
+	if bound := c.bound(now); !c.hasOffset || offset < bound || offset-bound > clockResetThreshold {
+		c.hasOffset, c.offset, c.observedAt = true, offset, now
 	}
-	return clock.Instant(store + c.offset)
+	return clock.Instant(store + c.bound(now))
 }
 
 // now returns an estimate of the store's clock that is never ahead of it.
@@ -42,5 +54,5 @@
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Duration(now) - c.offset, c.hasOffset
+	return time.Duration(now) - c.bound(now), c.hasOffset
 }
