--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -65,6 +65,9 @@
 	server                 *http.Server
 	slots                  chan struct{}
 	onExecution            func(b *Backend, e Execution)
+	// onArrival is called with the request ID when a request arrives, and again with
+	// answered set when it is answered, with the limit that the response names.
+	onArrival func(b *Backend, id string, limit float64, answered bool)
 
 	mu                  sync.Mutex
 	id                  string
@@ -76,16 +79,18 @@
 	fault               BackendFault
 	faultShare          float64
 	requestCount        int
-	stopped             chan struct{}
+	// limit is the rate that responses name, in requests per second; 0 means none.
+	limit   float64
+	stopped chan struct{}
 }
 
-func newBackend(ip, service, zone, control string, onExecution func(*Backend, Execution)) (*Backend, error) {
+func newBackend(ip, service, zone, control string, onExecution func(*Backend, Execution), onArrival func(*Backend, string, float64, bool)) (*Backend, error) {
 	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
 	b := &Backend{
-		service: service, zone: zone, control: control, listener: ln, onExecution: onExecution,
+		service: service, zone: zone, control: control, listener: ln, onExecution: onExecution, onArrival: onArrival,
 		slots: make(chan struct{}, backendSlots), stopped: make(chan struct{}),
 	}
 	b.Restart(false)
@@ -107,7 +112,7 @@
 	defer b.mu.Unlock()
 	b.incarnation++
 	b.id = fmt.Sprintf("i-%s-%d", b.listener.Addr(), b.incarnation)
-	b.startedAt, b.sequence, b.draining, b.drainAcknowledgedAt = time.Now(), 0, false, time.Time{}
+	b.startedAt, b.sequence, b.draining, b.drainAcknowledgedAt, b.limit = time.Now(), 0, false, time.Time{}, 0
 	if !cold {
 		b.startedAt = b.startedAt.Add(-coldStartDuration)
 	}
@@ -120,6 +125,23 @@
 	b.fault, b.faultShare = f, share
 }
 
+// SetLimit makes all responses name a limit, in requests per second; 0 ends it.
+func (b *Backend) SetLimit(rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = rate
+}
+
+// nameLimit adds the limit to a response and returns it.
+func (b *Backend) nameLimit(h http.Header) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(b.limit, 'f', 1, 64))
+	}
+	return b.limit
+}
+
 // Drain announces that the backend server is draining.
 func (b *Backend) Drain() {
 	b.mu.Lock()
@@ -188,6 +210,9 @@
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	limit := b.nameLimit(w.Header())
+	b.onArrival(b, id, limit, false)
+	defer func() { b.onArrival(b, id, limit, true) }()
 	body, err := io.ReadAll(r.Body)
 	fault, refusalStatus := b.admit(r)
 	if err != nil || refusalStatus != 0 {
--- a/standin/soak/checks.go
+++ b/standin/soak/checks.go
@@ -25,6 +25,14 @@
 	// tolerated number of requests beyond it.
 	coldRateFactor = 1.5
 	coldRateSlack  = 5
+	// limitWindow is the window in which the arrivals at a backend server that names a
+	// limit are counted, limitFactor the tolerated multiple of the limit and limitSlack the
+	// tolerated number of requests beyond it. The machines are bound limitNotice after they
+	// have passed on a response that names it.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitNotice = 500 * time.Millisecond
 	// recoveryTime is the time after the last fault within which requests must succeed again.
 	recoveryTime = 15 * time.Second
 )
@@ -39,6 +47,7 @@
 	sent           map[string]sentRequest // by request ID
 	teamExecutions map[string][]time.Time
 	coldExecutions map[*Backend][]time.Time
+	limits         map[*Backend]*limitRecord
 	revoked        map[string]time.Time // time of the revocation by key
 	evacuated      map[string]time.Time // time of the evacuation by zone
 	newestSeen     map[string]int       // newest configuration version observed by process
@@ -50,6 +59,15 @@
 	activeFaults map[string]int
 }
 
+// limitRecord holds the requests since a backend server first named a limit.
+type limitRecord struct {
+	since time.Time
+	// told is when a machine passed on the first response with the limit.
+	told map[string]time.Time
+	// arrivals holds the arrivals of requests of machines that were told.
+	arrivals []time.Time
+}
+
 type sentRequest struct {
 	sentAt     time.Time
 	machine    string
@@ -61,7 +79,7 @@
 func newChecker() *checker {
 	return &checker{
 		executions: make(map[string]int), reportedNotRun: make(map[string]int), sent: make(map[string]sentRequest),
-		teamExecutions: make(map[string][]time.Time), coldExecutions: make(map[*Backend][]time.Time), revoked: make(map[string]time.Time),
+		teamExecutions: make(map[string][]time.Time), coldExecutions: make(map[*Backend][]time.Time), limits: make(map[*Backend]*limitRecord), revoked: make(map[string]time.Time),
 		evacuated: make(map[string]time.Time), newestSeen: make(map[string]int), statusCounts: make(map[string]int),
 		lastFaultEnd: make(map[string]time.Time), activeFaults: make(map[string]int),
 	}
@@ -143,6 +161,38 @@
 	}
 }
 
+// checkLimit checks a request that arrives at a backend server, or that it has answered,
+// against the limit that its responses name.
+func (c *checker) checkLimit(b *Backend, id string, limit float64, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, machine := time.Now(), c.sent[id].machine
+	l := c.limits[b]
+	switch {
+	case limit <= 0:
+		delete(c.limits, b)
+		return
+	case l == nil:
+		l = &limitRecord{since: now, told: make(map[string]time.Time)}
+		c.limits[b] = l
+	}
+	// A fault of the machine since it was told excuses it.
+	if told, ok := l.told[machine]; ok && (c.activeFaults[machine] > 0 || c.lastFaultEnd[machine].After(told)) {
+		delete(l.told, machine)
+	}
+	told, ok := l.told[machine]
+	switch {
+	case answered && !ok:
+		l.told[machine] = now
+	case !answered && ok && now.Sub(told) >= limitNotice:
+		l.arrivals = append(l.arrivals, now)
+		n := len(l.arrivals) - int(limitFactor*limit*limitWindow.Seconds()+limitSlack) - 1
+		if n >= 0 && now.Sub(l.arrivals[n]) < limitWindow && now.Sub(l.since) > settleTime {
+			c.recordViolation("limit", "%d requests within %s at a backend server that named %.1f a second", len(l.arrivals)-n, now.Sub(l.arrivals[n]), limit)
+		}
+	}
+}
+
 // checkRate checks the number of executions of a team within rateWindow. c.mu must be held.
 func (c *checker) checkRate(e Execution) {
 	c.teamExecutions[e.Team] = append(c.teamExecutions[e.Team], e.At)
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -149,7 +149,7 @@
 	control := address(ports[2])
 	m.trafficAddress, m.readyAddress, m.metricsPort = address(ports[0]), address(ports[1]), strconv.Itoa(ports[4])
 	m.settingsFile, m.logFile = filepath.Join(d.dir, m.name+".toml"), filepath.Join(d.dir, m.name+".log")
-	if m.backend, err = newBackend(m.ip, m.service, m.zone, control, func(b *Backend, e Execution) { d.checker.checkExecution(b, m.name, e) }); err != nil {
+	if m.backend, err = newBackend(m.ip, m.service, m.zone, control, func(b *Backend, e Execution) { d.checker.checkExecution(b, m.name, e) }, d.checker.checkLimit); err != nil {
 		return nil, errors.Wrap(err, "start backend server")
 	}
 	if m.linkProxy, err = NewProxy(m.ip, address(ports[3])); err != nil {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -17,6 +17,10 @@
 	maxFaultGap = 1500 * time.Millisecond
 	// maxFaultDuration is the longest time that a fault lasts.
 	maxFaultDuration = 4 * time.Second
+	// limitFaultDuration is the time for which a backend server names a limit.
+	limitFaultDuration = settleTime + limitWindow + time.Second
+	// limitFaultShare is the number of other faults for each fault of kind limitFault.
+	limitFaultShare = 4
 	// lateWriteDelay is the delay of writes that get no response.
 	lateWriteDelay = 2 * time.Second
 	// stallThreshold is the timer delay above which a stall counts as a fault of all
@@ -60,6 +64,12 @@
 	}}
 }
 
+// limitFault makes the backend server of a machine name a limit in its responses.
+var limitFault = fault{name: "backend limited", begin: func(_ *deployment, m *machine, r *rand.Rand) func() {
+	m.backend.SetLimit(1 + 3*r.Float64())
+	return func() { m.backend.SetLimit(0) }
+}}
+
 func linkProxyOf(m *machine) *Proxy  { return m.linkProxy }
 func storeProxyOf(m *machine) *Proxy { return m.storeProxy }
 func noop(*machine)                  {}
@@ -123,6 +133,7 @@
 // different kinds overlap.
 func (d *deployment) injectFaults(ctx context.Context, seed uint64, logf func(string, ...any)) {
 	r := rand.New(rand.NewPCG(seed, 0))
+	limits := rand.New(rand.NewPCG(seed, 1)) // Leaves the other faults of a seed as they were.
 	startedAt := time.Now()
 	active := make(map[string]bool)
 	type ending struct {
@@ -143,6 +154,20 @@
 		}
 		endings = rest
 	}
+	// At most one fault of a kind is active on a machine, because the end of one would
+	// also end the other.
+	start := func(now time.Time, f fault, m *machine, duration time.Duration, r *rand.Rand) {
+		key := f.name + "/" + m.name
+		if f.affectsStore {
+			key = "store"
+		}
+		if active[key] {
+			return
+		}
+		active[key] = true
+		logf("%7.2f s  %-18s %-4s for %s", now.Sub(startedAt).Seconds(), f.name, m.name, duration.Round(10*time.Millisecond))
+		endings = append(endings, ending{now.Add(duration), key, f.begin(d, m, r)})
+	}
 	next := startedAt
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -151,16 +176,9 @@
 			f, m := faults[r.IntN(len(faults))], d.machines[r.IntN(len(d.machines))]
 			duration := time.Duration(r.Int64N(int64(maxFaultDuration)))
 			next = now.Add(minFaultGap + time.Duration(r.Int64N(int64(maxFaultGap-minFaultGap))))
-			// At most one fault of a kind is active on a machine, because the end of one
-			// would also end the other.
-			key := f.name + "/" + m.name
-			if f.affectsStore {
-				key = "store"
-			}
-			if !active[key] {
-				active[key] = true
-				logf("%7.2f s  %-18s %-4s for %s", now.Sub(startedAt).Seconds(), f.name, m.name, duration.Round(10*time.Millisecond))
-				endings = append(endings, ending{now.Add(duration), key, f.begin(d, m, r)})
+			start(now, f, m, duration, r)
+			if limits.IntN(limitFaultShare) == 0 {
+				start(now, limitFault, d.machines[limits.IntN(len(d.machines))], limitFaultDuration, limits)
 			}
 		}
 		sleep(ctx, 20*time.Millisecond)
