--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -263,6 +263,35 @@
 	eventually(t, func() bool { return b.View().BlockedFingerprints[FingerprintKey([]byte{1, 2})] }, "blocked fingerprint")
 }
 
+// Guards against a node that receives steps that it cannot apply: one that runs an earlier
+// program, or one whose document does not match them.
+func TestNodeThatAcceptsNoStepsReceivesDocument(t *testing.T) {
+	fleet := newTestFleet(t)
+	a := fleet.add("a")
+	for version := 1; version <= 2; version++ {
+		fleet.store.Put(platform.OperatorTable, "config", configDocument(version, "k"))
+		eventually(t, func() bool { return configVersion(a) == uint64(version) }, "version")
+	}
+	response, ok := a.HandleFollow(t.Context(), FollowRequest{ConfigVersion: 1})
+	require.True(t, ok)
+	require.Equal(t, string(configDocument(2, "k")), string(response.Document))
+	require.Empty(t, response.Steps)
+	response, ok = a.HandleFollow(t.Context(), FollowRequest{ConfigVersion: 1, AcceptsSteps: true})
+	require.True(t, ok)
+	require.Empty(t, response.Document)
+	require.Len(t, response.Steps, 1)
+
+	b := New(Config{Logger: log.NewNopLogger(), UnreachableAddress: func() string { return "" }})
+	other := configDocument(1, "another key")
+	b.documents.add(1, other)
+	require.Nil(t, b.documentOf(response, "a"))
+	require.False(t, b.followRequest().AcceptsSteps, "the next response contains the document")
+	b.documents.add(3, other)
+	b.refuseSteps.Store(false)
+	require.Nil(t, b.documentOf(response, "a"))
+	require.True(t, b.followRequest().AcceptsSteps, "the version has only changed since the request")
+}
+
 // Guards against a follow request that blocks after the event loop has ended, which
 // would prevent the process from ending.
 func TestHandleFollowAfterStop(t *testing.T) {
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoildock.example/mesh/clock"
 	"trefoildock.example/platform"
 )
@@ -209,7 +211,10 @@
 		return response.Document
 	}
 	document, err := s.documents.apply(response.Steps)
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoStep):
+		return nil // A newer version has arrived since the request; the next response continues from it.
+	case err != nil:
 		s.refuseSteps.Store(true) // The next response contains the whole document.
 		s.cfg.Logger.Log("event", "steps of the configuration refused", "source", address, "version", response.ConfigVersion, "err", err)
 	}
