--- a/cmd/trefoildock/metrics_page_test.go
+++ b/cmd/trefoildock/metrics_page_test.go
@@ -12,6 +12,7 @@
 
 	"trefoildock.example/configstore"
 	"trefoildock.example/mesh/entry"
+	"trefoildock.example/mesh/fleet"
 	"trefoildock.example/mesh/owner"
 	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/node"
@@ -46,6 +47,7 @@
 	registry := metrics.NewRegistry()
 	entry.NewMetrics(registry)
 	owner.NewMetrics(registry)
+	fleet.NewMetrics(registry)
 	recovery.New(log.NewNopLogger(), registry)
 	registered := []string{"trefoildock_store_malformed"}
 	registry.Each(func(name string, _ any) {
