--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -36,14 +36,14 @@
 	// timeouts of sources that fail one after another would add up past 2 s, the time in
 	// which a configuration must be in force.
 	peerPollAge = operatorWatchWait + 250*time.Millisecond
-	// peerPollInterval is the time between the first two polls. It doubles up to
-	// maxPeerPollInterval until a confirmation is found, because in an outage of the store
-	// all nodes poll. peersPerPoll is the number of nodes queried in one poll, and
+	// peerPollInterval is the time between two polls, and latePollInterval that from an age
+	// of latePollAge on, because in an outage of the store all nodes poll. peersPerPoll is the number of nodes queried in one poll, and
 	// peerPollTimeout the timeout of one query.
-	peerPollInterval    = 200 * time.Millisecond
-	maxPeerPollInterval = 400 * time.Millisecond
-	peersPerPoll        = 3
-	peerPollTimeout     = 350 * time.Millisecond
+	peerPollInterval = 200 * time.Millisecond
+	latePollInterval = 400 * time.Millisecond
+	latePollAge      = 2 * peerPollAge
+	peersPerPoll     = 3
+	peerPollTimeout  = 350 * time.Millisecond
 )
 
 // FollowResponse holds the changes of the fleet state since the revisions in the request.
@@ -237,17 +237,18 @@
 // pollPeersWhileStale polls nodes of any zone while this node's confirmation is
 // stale. The store may reject the calls of some VMs and serve the others.
 func (s *State) pollPeersWhileStale(ctx context.Context) {
-	interval := peerPollInterval
 	for ctx.Err() == nil {
 		age, known := s.ConfirmationAge()
 		if known && age < peerPollAge {
-			interval = peerPollInterval
 			clock.Sleep(ctx, peerPollAge-age)
 			continue
 		}
 		s.pollPeers(ctx)
+		interval := peerPollInterval
+		if age >= latePollAge {
+			interval = latePollInterval
+		}
 		clock.Sleep(ctx, interval)
-		interval = min(2*interval, maxPeerPollInterval)
 	}
 }
 
