--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -121,6 +121,9 @@
 	return resp
 }
 
+// codeCrashing is the code of requests that crash the backend servers that run them.
+const codeCrashing = "crashing-request"
+
 // ErrPanic is the result of a request whose handling has panicked.
 var ErrPanic = &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: "internal-error", Detail: "the proxy failed to handle the request"}
 
@@ -170,7 +173,7 @@
 	fingerprint := fingerprintOf(q, e.cfg.Service)
 	if q.view.BlockedFingerprints[fleet.FingerprintKey(fingerprint[:])] {
 		e.cfg.Metrics.CrashingRequests.Inc(1)
-		return verdict.NewNotRun("crashing-request", "the request has crashed backend servers", time.Second)
+		return verdict.NewNotRun(codeCrashing, "the request has crashed backend servers", time.Second)
 	}
 	e.buildOffer(q, fingerprint)
 	return nil
@@ -280,6 +283,10 @@
 		failure := verdict.FromError(err)
 		age, _ := e.cfg.Fleet.ConfirmationAge()
 		keyvals = append(keyvals, "code", failure.Code, "verdict", failure.Verdict, "confirmed_ms", age.Milliseconds(), "cause", failure.Cause)
+		if failure.Code == codeCrashing {
+			fingerprint := fingerprintOf(q, e.cfg.Service)
+			keyvals = append(keyvals, "fingerprint", fleet.FingerprintKey(fingerprint[:]))
+		}
 	}
 	if ctx.Err() != nil {
 		keyvals = append(keyvals, "caller", "left")
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -384,7 +384,8 @@
 		return
 	}
 	s.crashes[row.Key] = r
-	s.cfg.Logger.Log("event", "crash recorded", "fingerprint", r.Fingerprint, "revision", row.Revision)
+	s.cfg.Logger.Log("event", "crash recorded", "fingerprint", r.Fingerprint, "backend", row.Key[strings.LastIndex(row.Key, "/")+1:],
+		"store_ms", r.StoreMillis, "revision", row.Revision)
 }
 
 // publishView builds a new view and makes it visible to other goroutines.
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -8,7 +8,9 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -376,10 +378,18 @@
 	}
 	o.cfg.Metrics.Crashes.Inc(1)
 	incarnation := incarnationOf(b.announcement)
-	o.cfg.Logger.Log("event", "backend server restarted with requests in flight", "backend", incarnation, "requests", len(fingerprints))
+	o.cfg.Logger.Log("event", "backend server restarted with requests in flight", "backend", incarnation, "requests", len(fingerprints), "fingerprints", hexOf(fingerprints))
 	go o.cfg.OnCrash(incarnation, fingerprints)
 }
 
+func hexOf(fingerprints [][]byte) string {
+	out := make([]string, 0, len(fingerprints))
+	for _, f := range fingerprints {
+		out = append(out, hex.EncodeToString(f))
+	}
+	return strings.Join(out, ",")
+}
+
 // coldRateLimit returns the number of requests per second that may be sent to the
 // backend server; 0 means no limit. Only heartbeats show whether a backend server
 // is cold, so the limit also applies while they are overdue and after a failed
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -411,6 +412,8 @@
 		b.health.cancel(r.trial)
 		return admission.Canceled
 	case e.Code == CodeBackendLost:
+		o.cfg.Logger.Log("event", "request lost with its connection", "request", r.offer.GetRequestId(), "backend", incarnationOf(b.announcement),
+			"fingerprint", hex.EncodeToString(r.offer.GetFingerprint()), "ms", latency.Milliseconds())
 		b.lostRequests = append(b.lostRequests, lostRequest{lostAt: now, fingerprint: r.offer.GetFingerprint()})
 	}
 	timedOut := deadlineExceeded(resp, e)
--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +28,10 @@
 	announceTimeout = time.Second
 	// hangDuration is the service time of a request that hangs.
 	hangDuration = 4 * time.Second
+	// crashPath is the prefix of requests that crash the backend server crashDelay after
+	// they began to run.
+	crashPath  = "/crash/"
+	crashDelay = 120 * time.Millisecond
 )
 
 // BackendFault is a fault that a backend server applies to a share of its requests.
@@ -61,8 +67,7 @@
 // machine.
 type Backend struct {
 	service, zone, control string
-	listener               net.Listener
-	server                 *http.Server
+	address                string
 	slots                  chan struct{}
 	onExecution            func(b *Backend, e Execution)
 	// onArrival is called with the request ID when a request arrives, and again with
@@ -70,6 +75,9 @@
 	onArrival func(b *Backend, id string, limit float64, answered bool)
 
 	mu                  sync.Mutex
+	server              *http.Server // nil while the backend server is down
+	downtime            time.Duration
+	crashes             []time.Time
 	id                  string
 	startedAt           time.Time
 	sequence            int
@@ -90,20 +98,78 @@
 		return nil, err
 	}
 	b := &Backend{
-		service: service, zone: zone, control: control, listener: ln, onExecution: onExecution, onArrival: onArrival,
+		service: service, zone: zone, control: control, address: ln.Addr().String(), onExecution: onExecution, onArrival: onArrival,
 		slots: make(chan struct{}, backendSlots), stopped: make(chan struct{}),
 	}
 	b.Restart(false)
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
-	go func() { _ = b.server.Serve(ln) }() // Returns an error after Close.
+	b.serve(ln)
 	go b.announceLoop()
 	return b, nil
 }
 
+// serve starts the HTTP server. b.mu must be held if the backend server is in use.
+func (b *Backend) serve(ln net.Listener) {
+	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
+	b.server = server
+	go func() { _ = server.Serve(ln) }() // Returns an error after Close.
+}
+
 // Close stops the announcements and closes the HTTP server.
 func (b *Backend) Close() {
 	close(b.stopped)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server != nil {
+		b.server.Close()
+	}
+}
+
+// SetDowntime sets the time after which a backend server that has crashed is back; 0
+// means never.
+func (b *Backend) SetDowntime(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.downtime = d
+}
+
+// Crash ends the backend server without notice: its connections close and its address
+// refuses new ones. It returns cold, with a new ID.
+func (b *Backend) Crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server == nil {
+		return
+	}
+	b.crashes = append(b.crashes, time.Now())
 	b.server.Close()
+	b.server = nil
+	if b.downtime > 0 {
+		time.AfterFunc(b.downtime, b.comeBack)
+	}
+}
+
+func (b *Backend) comeBack() {
+	select {
+	case <-b.stopped:
+		return
+	default:
+	}
+	ln, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return // Another listener of this machine took the port; the backend server stays away.
+	}
+	b.Restart(true)
+	b.mu.Lock()
+	b.serve(ln)
+	b.mu.Unlock()
+	b.announce()
+}
+
+// Crashes returns the times at which the backend server has crashed.
+func (b *Backend) Crashes() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.crashes)
 }
 
 // Restart begins a new incarnation. It starts with a cold start if cold is set.
@@ -111,7 +177,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.incarnation++
-	b.id = fmt.Sprintf("i-%s-%d", b.listener.Addr(), b.incarnation)
+	b.id = fmt.Sprintf("i-%s-%d", b.address, b.incarnation)
 	b.startedAt, b.sequence, b.draining, b.drainAcknowledgedAt, b.limit = time.Now(), 0, false, time.Time{}, 0
 	if !cold {
 		b.startedAt = b.startedAt.Add(-coldStartDuration)
@@ -170,13 +236,17 @@
 // announce sends one announcement and records when draining was first acknowledged.
 func (b *Backend) announce() {
 	b.mu.Lock()
+	if b.server == nil {
+		b.mu.Unlock()
+		return
+	}
 	b.sequence++
 	id, state := b.id, "ready"
 	if b.draining {
 		state = "draining"
 	}
 	body, err := json.Marshal(map[string]any{
-		"service": b.service, "address": b.listener.Addr().String(), "zone": b.zone, "version": "v1", "slots": backendSlots,
+		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": backendSlots,
 		"state": state, "cold-remaining-ms": b.coldStartRemaining(time.Now()).Milliseconds(), "sequence": b.sequence, "born": b.startedAt.UnixMilli(),
 	})
 	b.mu.Unlock()
@@ -222,6 +292,11 @@
 	}
 	defer func() { <-b.slots }()
 	b.onExecution(b, b.newExecution(r, id))
+	if strings.HasPrefix(r.URL.Path, crashPath) {
+		time.Sleep(crashDelay)
+		b.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	workMillis, err := strconv.Atoi(r.URL.Query().Get("work"))
 	if err != nil {
 		workMillis = 1
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -159,7 +159,7 @@
 		return nil, errors.Wrap(err, "start store proxy")
 	}
 	settings := Settings{
-		Node: m.name, IP: m.ip, Zone: m.zone, Service: m.service, Backend: m.backend.listener.Addr().String(),
+		Node: m.name, IP: m.ip, Zone: m.zone, Service: m.service, Backend: m.backend.address,
 		Callers: m.trafficAddress, Ready: m.readyAddress, Control: control, Store: m.storeProxy.Address(), LinkPort: ports[3], Heartbeat: announceInterval,
 	}.Text()
 	return m, errors.Wrap(os.WriteFile(m.settingsFile, []byte(settings), 0o600), "settings")
