--- a/mesh/quota/lease_test.go
+++ b/mesh/quota/lease_test.go
@@ -236,3 +236,37 @@
 	require.NotNil(t, restarted.Buckets())
 	require.True(t, restarted.waitsForPeers(), "one report causes one read")
 }
+
+// Guards against two coordinators after the store was restored from a copy that names an
+// earlier holder of the lease, or that has none.
+func TestRestoredLeaseHasOneHolder(t *testing.T) {
+	for name, held := range map[string]bool{"earlier holder": true, "no lease": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestStore(t)
+			a, b, c := s.manager("a"), s.manager("b"), s.manager("c")
+			if held {
+				require.NoError(t, a.tryAcquire(t.Context()))
+			}
+			copied := s.store.Copy()
+			a.Stop(t.Context())
+			require.NoError(t, b.tryAcquire(t.Context()))
+			require.NotNil(t, b.Buckets())
+			require.NoError(t, c.tryAcquire(t.Context()))
+			a.stopped = false
+			s.store.Restore(copied)
+			s.clockOffset = leaseDuration // The lease of the copy has expired.
+			for _, m := range []*LeaseManager{a, c} {
+				require.NoError(t, m.tryAcquire(t.Context()))
+				require.Nil(t, m.Buckets(), "the lease of b is still valid")
+			}
+			b.renew(t.Context())
+			require.NotNil(t, b.Buckets(), "the holder takes its lease back")
+			require.NoError(t, c.tryAcquire(t.Context()))
+			coordinator, _ := c.Coordinator()
+			require.Equal(t, b.Self, coordinator)
+			s.store.Restore(copied)
+			b.renew(t.Context())
+			require.NotNil(t, b.Buckets(), "a second restoration")
+		})
+	}
+}
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,6 +69,8 @@
 	rows              map[string]row // by table, part and key
 	revision          uint64
 	compactedRevision uint64 // changes up to this revision are compacted
+	era               uint64 // number of restorations
+	clockShift        time.Duration
 	faults            Faults
 	requestCounts     map[string]int
 	changed           chan struct{}
@@ -131,6 +134,45 @@
 	s.notifyFeeds()
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	rows       map[string]row
+	revision   uint64
+	storeClock time.Duration
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), revision: s.revision, storeClock: s.clock()}
+}
+
+// Restore replaces the content by a copy, except for the tables of the operator, whose rows
+// are written again. The revisions since the copy are given out again, and the
+// clock continues from the copy.
+func (s *Store) Restore(c Copy, operatorTables ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.clockShift += c.storeClock - s.clock()
+	lost := s.rows
+	s.rows, s.revision = maps.Clone(c.rows), c.revision
+	for _, id := range slices.Sorted(maps.Keys(lost)) {
+		r := lost[id]
+		if slices.Contains(operatorTables, r.Table) && s.rows[id].Revision != r.Revision {
+			s.revision++
+			r.Revision = s.revision
+			s.rows[id] = r
+		}
+	}
+	s.compactedRevision = min(s.compactedRevision, c.revision)
+	s.notifyFeeds()
+}
+
+// clock returns the reading of the store's monotonic clock. s.mu must be held.
+func (s *Store) clock() time.Duration { return time.Since(s.startedAt) + s.clockShift }
+
 // notifyFeeds wakes the waiting feed requests. s.mu must be held.
 func (s *Store) notifyFeeds() {
 	close(s.changed)
@@ -141,8 +183,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.requestCounts[r.URL.Path]++
-	f := s.faults
+	f, era := s.faults, s.era
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(era+1, 10))
 	time.Sleep(f.Delay)
 	if f.Reset {
 		panic(http.ErrAbortHandler)
@@ -220,7 +263,7 @@
 // newResponse returns a response with rows, the current revision and the time of the
 // store. s.mu must be held.
 func (s *Store) newResponse(rows []row) response {
-	return response{Rows: rows, Revision: s.revision, NowMS: time.Since(s.startedAt).Milliseconds()}
+	return response{Rows: rows, Revision: s.revision, NowMS: s.clock().Milliseconds()}
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
@@ -262,7 +305,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		changed, compacted, keepOpen := s.changed, after < s.compactedRevision, s.faults.StallFeeds
+		changed, compacted, keepOpen := s.changed, after < s.compactedRevision || after > s.revision, s.faults.StallFeeds
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era+1, 10))
 		rows := s.matchingRows(func(stored row) bool { return stored.Table == q.Get("table") && stored.Revision > after })
 		out := s.newResponse(rows)
 		s.mu.Unlock()
