--- a/mesh/fleet/crashes.go
+++ b/mesh/fleet/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,20 +47,67 @@
 		s.cfg.Logger.Log("event", "crash not recorded", "err", err)
 		return
 	}
-	key := crashPrefix + n.Event
+	own := ownCrash{key: crashPrefix + n.Event, value: value, at: s.cfg.Clock()}
+	s.enqueue(ctx, func() { s.rememberCrash(own) })
+	s.writeCrash(ctx, own)
+}
+
+// ownCrash is the row of a crash that this node has reported.
+type ownCrash struct {
+	key   string
+	value []byte
+	at    clock.Instant
+}
+
+// maxOwnCrashes bounds the rows that are written again after a restoration of the store.
+const maxOwnCrashes = 64
+
+// rememberCrash runs on the event loop.
+func (s *State) rememberCrash(c ownCrash) {
+	s.ownCrashes = slices.DeleteFunc(s.ownCrashes, func(o ownCrash) bool { return c.at.Sub(o.at) > crashguard.Expiry })
+	if len(s.ownCrashes) == maxOwnCrashes {
+		s.ownCrashes = s.ownCrashes[1:]
+	}
+	s.ownCrashes = append(s.ownCrashes, c)
+}
+
+// recordCrashesAgain writes the crashes of this node again; those that are still in the
+// store conflict. It runs on the event loop.
+func (s *State) recordCrashesAgain() {
+	for _, c := range s.ownCrashes {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), crashguard.Expiry)
+			defer cancel()
+			s.writeCrash(ctx, c)
+		}()
+	}
+}
+
+// writeCrash writes a row until the store accepts it, the state has ended or ctx ends.
+func (s *State) writeCrash(ctx context.Context, c ownCrash) {
+	key, value := c.key, c.value
 	for delay := minRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxCrashWriteDelay) {
 		callCtx, cancel := context.WithTimeout(ctx, publishTimeout)
 		_, err := s.cfg.Members.Write(callCtx, key, value, 0)
 		cancel()
-		var conflict *platform.ConflictError
-		if err == nil || errors.As(err, &conflict) {
+		if err == nil || isConflict(err) {
 			return
 		}
 		s.cfg.Logger.Log("event", "crash record not written", "key", key, "err", err)
-		clock.Sleep(ctx, delay)
+		select {
+		case <-s.stopped:
+			return
+		default:
+			clock.Sleep(ctx, delay)
+		}
 	}
 }
 
+func isConflict(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict)
+}
+
 // applyCrash passes the row of a crash on.
 func (s *State) applyCrash(row platform.Change) {
 	if row.Removed {
--- a/mesh/fleet/follow.go
+++ b/mesh/fleet/follow.go
@@ -114,7 +114,7 @@
 		if response.ConfigVersion > req.ConfigVersion {
 			s.addConfig(&response, req)
 		}
-		response.OperatorRevision, response.EvacuatedZones = s.operatorRevision, slices.Sorted(maps.Keys(s.evacuatedZones))
+		response.OperatorRevision, response.EvacuatedZones = s.operatorRevision, slices.Sorted(maps.Keys(s.zones.stored))
 		response.Members.Rows, response.Full = s.table.since(req.MembersRevision)
 		response.Members.Revision, response.Coordinator = s.table.revision, s.coordinator
 	})
@@ -189,13 +189,12 @@
 		document := s.documentOf(response, address)
 		changed := document != nil && s.applyConfig(document, address)
 		if response.OperatorRevision > s.operatorRevision {
+			restored := s.isRestored(s.operatorRevision, response.OperatorRevision)
 			s.operatorRevision = response.OperatorRevision
-			changed = s.replaceEvacuatedZones(response.EvacuatedZones) || changed
+			changed = s.replaceEvacuatedZones(response.EvacuatedZones, restored) || changed
 		}
 		before := s.table.revision
-		newer := s.table.merge(response.Members, response.Full)
-		s.applyRows(newer)
-		if changed || len(newer) > 0 || s.table.revision != before {
+		if s.mergeRows(response.Members, response.Full) || changed || s.table.revision != before {
 			s.publishView()
 		}
 		if s.config != nil && s.config.Version >= response.ConfigVersion {
@@ -221,16 +220,17 @@
 	return document
 }
 
-func (s *State) replaceEvacuatedZones(names []string) bool {
-	evacuated := make(map[string]bool, len(names))
-	for _, name := range names {
-		evacuated[name] = true
+// replaceEvacuatedZones applies the complete set of evacuated zones, and reports whether it
+// changed. After a restoration of the store, zones that are missing stay evacuated
+// until the operator has had time to write them again.
+func (s *State) replaceEvacuatedZones(names []string, restored bool) bool {
+	if restored {
+		s.holdMissingState(s.operatorRevision)
 	}
-	if maps.Equal(evacuated, s.evacuatedZones) {
+	if !s.zones.replace(names, restored) {
 		return false
 	}
-	s.evacuatedZones = evacuated
-	s.cfg.Logger.Log("event", "availability zones evacuated", "zones", strings.Join(names, ","), "revision", s.operatorRevision)
+	s.cfg.Logger.Log("event", "availability zones evacuated", "zones", strings.Join(slices.Sorted(maps.Keys(s.zones.effective())), ","), "revision", s.operatorRevision)
 	return true
 }
 
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return s.rereadMembers(ctx, err)
 	}
-	s.storeClock.observe(written.StoreTime)
+	s.storeClock.observe(written.Revision, written.StoreTime)
 	row := platform.Change{Row: platform.Row{Key: key, Value: value, Revision: written.Revision}, Removed: value == nil}
 	s.runAndWait(ctx, func() {
 		s.table.put(row)
--- a/mesh/fleet/rows.go
+++ b/mesh/fleet/rows.go
@@ -16,30 +16,83 @@
 	revision, historyStart uint64
 	// loaded is set once the table was read. The revision may still be 0 then.
 	loaded bool
+	// ownKey is the key of the row that this node writes, which is always applied as stored.
+	ownKey string
+	// held contains the rows of an earlier generation of the store that are missing from the
+	// current one and have not been written again.
+	held map[string]platform.Change
 }
 
 // merge applies changes, or a snapshot of the table if full is set. It returns the
-// rows that are newer than those in the copy.
-func (t *rowTable) merge(c platform.Changes, full bool) (newer []platform.Change) {
+// rows that are newer than those in the copy. If the store was restored from an older
+// copy, rows that are missing from it stay in use until releaseHeld, and rows that were
+// removed since are not returned, but with resurrected.
+func (t *rowTable) merge(c platform.Changes, full bool) (newer, resurrected []platform.Change) {
 	if t.rows == nil {
 		t.rows = make(map[string]platform.Change)
 	}
 	if full && c.Revision < t.revision {
-		return nil
+		return nil, nil
 	}
-	if full {
+	restored := full && t.loaded && platform.Generation(c.Revision) > platform.Generation(t.revision)
+	switch {
+	case restored:
+		t.holdMissing(c)
+		t.historyStart = c.Revision // A follower needs the whole table, so that it holds rows, too.
+	case full:
 		newer = t.markMissingRemoved(c)
 	}
 	for _, row := range c.Rows {
-		if t.put(row) {
+		before := t.rows[row.Key]
+		switch {
+		case !t.put(row):
+		case restored && before.Removed && row.Key != t.ownKey:
+			resurrected = append(resurrected, row)
+		default:
 			newer = append(newer, row)
 		}
 	}
+	if before, ok := t.rows[t.ownKey]; ok && restored && platform.Generation(before.Revision) < platform.Generation(c.Revision) {
+		before.Removed, before.Value, before.Revision = true, nil, c.Revision
+		t.rows[t.ownKey] = before
+		newer = append(newer, before)
+	}
 	if !t.loaded {
 		t.loaded, t.historyStart = true, c.Revision
 	}
 	t.revision = max(t.revision, c.Revision)
-	return newer
+	return newer, resurrected
+}
+
+// holdMissing moves the rows that are missing from a snapshot to held. The row of
+// this node stays: it must be written again at once.
+func (t *rowTable) holdMissing(c platform.Changes) {
+	if t.held == nil {
+		t.held = make(map[string]platform.Change)
+	}
+	present := make(map[string]bool, len(c.Rows))
+	for _, row := range c.Rows {
+		present[row.Key] = true
+	}
+	for key, row := range t.rows {
+		if present[key] || key == t.ownKey {
+			continue
+		}
+		delete(t.rows, key)
+		if !row.Removed {
+			t.held[key] = row
+		}
+	}
+}
+
+// releaseHeld returns the removal of the rows that are still held.
+func (t *rowTable) releaseHeld() (removed []platform.Change) {
+	for _, row := range t.held {
+		row.Removed, row.Value = true, nil
+		removed = append(removed, row)
+	}
+	t.held = nil
+	return removed
 }
 
 // put applies a row if it is newer than the one in the copy, and reports whether it is. The
@@ -52,6 +105,7 @@
 		return false
 	}
 	t.rows[row.Key] = row
+	delete(t.held, row.Key)
 	return true
 }
 
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -126,11 +126,15 @@
 	// Only the event loop accesses the fields below.
 	config           *routing.Config
 	documents        configHistory
-	evacuatedZones   map[string]bool
+	zones            zoneSet
 	operatorRevision uint64
 	table            rowTable
-	members          map[string]*Member
-	coordinator      Peer
+	// heldUntil is when state that is missing from a restored store is dropped.
+	heldUntil clock.Instant
+	// ownCrashes holds the rows of the crashes that this node has reported.
+	ownCrashes  []ownCrash
+	members     map[string]*Member
+	coordinator Peer
 }
 
 // New returns an empty state.
@@ -146,7 +150,7 @@
 	}
 	s := &State{
 		cfg: cfg, storeClock: storeClock{clock: cfg.Clock}, tasks: make(chan func(), 64), publishSignal: make(chan struct{}, 1), stopped: make(chan struct{}),
-		evacuatedZones: make(map[string]bool), members: make(map[string]*Member),
+		table: rowTable{ownKey: memberPrefix + cfg.Self.Node}, members: make(map[string]*Member),
 	}
 	s.storeGate.close() // Until the node finds that it must read the store itself.
 	s.view.Store(emptyView())
@@ -190,6 +194,11 @@
 // StoreNow returns an estimate of the store's clock that is never ahead of it.
 func (s *State) StoreNow() (time.Duration, bool) { return s.storeClock.now() }
 
+// ObserveStore records the store's clock in a response with a revision.
+func (s *State) ObserveStore(revision uint64, storeTime time.Duration) {
+	s.storeClock.observe(revision, storeTime)
+}
+
 // SetCoordinator records the coordinator of the rate limits, which is reported to
 // followers.
 func (s *State) SetCoordinator(ctx context.Context, p Peer) {
@@ -271,21 +280,21 @@
 	if c.Revision < s.operatorRevision {
 		return // A newer revision was received from another node.
 	}
+	restored := s.isRestored(s.operatorRevision, c.Revision)
 	s.operatorRevision = c.Revision
 	if full {
-		evacuated := make(map[string]bool)
+		var zones []string
 		for _, row := range c.Rows {
 			if zone, ok := platform.EvacuatedZone(row.Key); ok && !row.Removed {
-				evacuated[zone] = true
+				zones = append(zones, zone)
 			}
 		}
-		if !maps.Equal(evacuated, s.evacuatedZones) {
-			s.evacuatedZones, changed = evacuated, true
-		}
+		changed = s.replaceEvacuatedZones(zones, restored) || changed
 	}
 	for _, row := range c.Rows {
-		if zone, ok := platform.EvacuatedZone(row.Key); ok {
-			s.setZoneEvacuated(zone, !row.Removed, &changed)
+		if zone, ok := platform.EvacuatedZone(row.Key); ok && !full && s.zones.set(zone, !row.Removed) {
+			changed = true
+			s.cfg.Logger.Log("event", "availability zone evacuated", "zone", zone, "out", !row.Removed)
 		}
 		if platform.IsConfig(row.Key) && !row.Removed {
 			changed = s.applyConfig(row.Value, "store") || changed
@@ -296,20 +305,6 @@
 	}
 }
 
-func (s *State) setZoneEvacuated(zone string, evacuated bool, changed *bool) {
-	if s.evacuatedZones[zone] == evacuated {
-		return
-	}
-	s.evacuatedZones = maps.Clone(s.evacuatedZones)
-	if evacuated {
-		s.evacuatedZones[zone] = true
-	} else {
-		delete(s.evacuatedZones, zone)
-	}
-	*changed = true
-	s.cfg.Logger.Log("event", "availability zone evacuated", "zone", zone, "out", evacuated)
-}
-
 // applyConfig applies a configuration if it is newer than the current one, and
 // reports whether it did. source names the node that sent it, or the store.
 func (s *State) applyConfig(document []byte, source string) bool {
@@ -334,10 +329,21 @@
 
 // applyMembers applies rows read from the members table.
 func (s *State) applyMembers(c platform.Changes, full bool) {
-	s.applyRows(s.table.merge(c, full))
+	s.mergeRows(c, full)
 	s.publishView()
 }
 
+// mergeRows applies rows of the members table, and reports whether there were any.
+func (s *State) mergeRows(c platform.Changes, full bool) bool {
+	if full && s.isRestored(s.table.revision, c.Revision) {
+		s.holdMissingState(c.Revision)
+	}
+	newer, resurrected := s.table.merge(c, full)
+	s.applyRows(newer)
+	s.removeAgain(resurrected)
+	return len(newer) > 0
+}
+
 // applyRows applies changed rows of the members table.
 func (s *State) applyRows(rows []platform.Change) {
 	for _, row := range rows {
@@ -381,12 +387,12 @@
 // publishView builds a new view and makes it visible to other goroutines.
 func (s *State) publishView() {
 	v := &View{
-		Config: s.config, EvacuatedZones: s.evacuatedZones, Nodes: maps.Clone(s.members),
+		Config: s.config, EvacuatedZones: s.zones.effective(), Nodes: maps.Clone(s.members),
 		Owners: make(map[string][]*Member), Revision: s.table.revision, operatorRevision: s.operatorRevision, Coordinator: s.coordinator,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.members)) {
 		m := s.members[name]
-		if m.serving() && !s.evacuatedZones[m.Zone] {
+		if m.serving() && !v.EvacuatedZones[m.Zone] {
 			v.Owners[m.Backend.Service] = append(v.Owners[m.Backend.Service], m)
 		}
 	}
--- a/mesh/fleet/storeclock.go
+++ b/mesh/fleet/storeclock.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoildock.example/mesh/clock"
+	"trefoildock.example/platform"
 )
 
 // storeClock relates the store's monotonic clock to the local boot-time clock. The
@@ -16,6 +17,9 @@
 
 	mu        sync.Mutex
 	hasOffset bool
+	// generation is the generation of the store to which offset belongs. The clock of a
+	// store that was restored may have gone back.
+	generation uint64
 	// offset is the local clock minus the store's clock. The estimate is never below
 	// the true value.
 	offset time.Duration
@@ -36,15 +40,19 @@
 // is treated as reset.
 const clockResetThreshold = 10 * time.Second
 
-// observe records the store time of a response that has just arrived, and returns an
-// estimate of the local instant at which the store read it.
-func (c *storeClock) observe(store time.Duration) clock.Instant {
+// observe records the store time of a response that has just arrived with a revision, and
+// returns an estimate of the local instant at which the store read it.
+func (c *storeClock) observe(revision uint64, store time.Duration) clock.Instant {
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	offset := time.Duration(now) - store
-	if bound := c.bound(now); !c.hasOffset || offset < bound || offset-bound > clockResetThreshold {
-		c.hasOffset, c.offset, c.observedAt = true, offset, now
+	generation := platform.Generation(revision)
+	if generation < c.generation {
+		return 0 // A late response of the store before its restoration, whose clock is unrelated.
+	}
+	if bound := c.bound(now); !c.hasOffset || generation > c.generation || offset < bound || offset-bound > clockResetThreshold {
+		c.hasOffset, c.generation, c.offset, c.observedAt = true, generation, offset, now
 	}
 	return clock.Instant(store + c.bound(now))
 }
--- a/mesh/fleet/storeclock_test.go
+++ b/mesh/fleet/storeclock_test.go
@@ -17,7 +17,7 @@
 	c := storeClock{clock: func() clock.Instant { return clock.Instant(local) }}
 	for store := time.Duration(0); store < 48*time.Hour; store += time.Second {
 		local = time.Duration(float64(store)*(1+drift)) + latency
-		at := time.Duration(c.observe(store))
+		at := time.Duration(c.observe(1, store))
 		require.Less(t, local-at, 50*time.Millisecond, "after %s", store)
 		require.LessOrEqual(t, at, local)
 		now, known := c.now()
--- a/mesh/fleet/watch.go
+++ b/mesh/fleet/watch.go
@@ -33,10 +33,13 @@
 			return err
 		}
 		full := reload
+		if after != 0 && platform.Generation(changes.Revision) != platform.Generation(after) {
+			signal(refreshMembers) // The pending watch may wait in the history before a restoration.
+		}
 		after, reload = changes.Revision, false
 		s.storeUnavailable.Store(false)
 		respondedAt = s.cfg.Clock()
-		at := s.storeClock.observe(changes.StoreTime)
+		at := s.storeClock.observe(changes.Revision, changes.StoreTime)
 		s.confirmedByStore.Store(int64(at))
 		s.runAndWait(ctx, func() { s.applyOperator(changes, full); s.confirm(at) })
 		return nil
@@ -85,7 +88,7 @@
 		changes, err := s.cfg.Members.Read(ctx)
 		if err == nil {
 			after = changes.Revision
-			s.storeClock.observe(changes.StoreTime)
+			s.storeClock.observe(changes.Revision, changes.StoreTime)
 			s.runAndWait(ctx, func() { s.applyMembers(changes, true) })
 			s.membersLoaded.Store(true)
 		}
@@ -108,7 +111,7 @@
 		}
 		full := reload
 		after, reload = changes.Revision, false
-		s.storeClock.observe(changes.StoreTime)
+		s.storeClock.observe(changes.Revision, changes.StoreTime)
 		s.enqueue(ctx, func() { s.applyMembers(changes, full) })
 		if len(changes.Rows) > 0 || full {
 			clock.Sleep(ctx, memberCoalesceDelay)
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -206,6 +206,7 @@
 	n.lease = &quota.LeaseManager{
 		Self: quota.Peer{Node: s.Node, Address: n.advertised}, Table: n.newRelayedTable(leaseTable), Logger: n.logger,
 		Incarnation: n.incarnation, StoreNow: n.fleet.StoreNow, ReadsStore: n.fleet.ReadsStore,
+		ObserveStore:  n.fleet.ObserveStore,
 		MayAcquire:    n.mayCoordinate,
 		OnCoordinator: func(p quota.Peer) { n.fleet.SetCoordinator(context.Background(), fleet.Peer(p)) },
 	}
--- a/mesh/quota/lease.go
+++ b/mesh/quota/lease.go
@@ -59,8 +59,25 @@
 	Incarnation string `json:"incarnation"`
 	// UntilMillis is the time of the store's clock at which the lease expires, in milliseconds.
 	UntilMillis int64 `json:"until_ms"`
+	// Generation is the generation of the store in which the lease was written.
+	Generation uint64 `json:"generation,omitempty"`
 }
 
+// leaseRow is the row of the lease as read from the store.
+type leaseRow struct {
+	leaseRecord
+	// revision is 0 if there is no row.
+	revision, generation uint64
+	// restored means that the store has been restored at some time.
+	restored bool
+	// readAt is the time of the store's clock.
+	readAt time.Duration
+}
+
+// fromCopy reports whether the row was brought back, or lost, by a restoration of the store
+// from an older copy. The lease may then be held by another node than it names.
+func (r leaseRow) fromCopy() bool { return r.restored && r.Generation != r.generation }
+
 // Peer identifies a node, such as the coordinator, and the address of its link server.
 type Peer struct {
 	Node, Address string
@@ -82,6 +99,8 @@
 	ReadsStore func() bool
 	// MayAcquire reports whether this node may acquire the lease; nil means that it may.
 	MayAcquire func() bool
+	// ObserveStore is called with the store's clock in its responses, unless it is nil.
+	ObserveStore func(revision uint64, storeTime time.Duration)
 	// OnCoordinator is called after each change of the coordinator, unless it is nil.
 	OnCoordinator func(Peer)
 
@@ -97,6 +116,10 @@
 	unreachable   Peer
 	unreachableAt time.Time
 	startedAt     time.Time
+	// generation is the newest generation of the store that this node has read, first at
+	// generationSeen.
+	generation     uint64
+	generationSeen clock.Instant
 	// reportedAsCoordinator is set when another node reports this node as the coordinator
 	// although it holds no lease, as after a restart of its process.
 	reportedAsCoordinator bool
@@ -262,23 +285,32 @@
 }
 
 // tryAcquire reads the lease and claims it if it does not exist, has expired or names
-// this node. Otherwise it records the holder as the coordinator.
+// this node. Otherwise it records the holder as the coordinator. After a restoration of the
+// store it waits until a lease that the copy lacks has expired or was taken back.
 func (m *LeaseManager) tryAcquire(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
-	record, revision, now, err := m.readLease(ctx)
+	row, err := m.readLease(ctx)
 	if err != nil {
 		return err
 	}
-	own := record.Holder == m.Self.Node // Held by this process, or by an earlier one on this VM that has ended.
-	if revision != 0 && !own && now < time.Duration(record.UntilMillis)*time.Millisecond {
-		m.setCoordinator(Peer{Node: record.Holder, Address: record.Address})
+	if row.fromCopy() {
+		m.mu.Lock()
+		wait := clock.Now() < m.generationSeen.Add(leaseDuration)
+		m.mu.Unlock()
+		if wait {
+			return nil
+		}
+	}
+	own := row.Holder == m.Self.Node // Held by this process, or by an earlier one on this VM that has ended.
+	if row.revision != 0 && !own && row.readAt < time.Duration(row.UntilMillis)*time.Millisecond {
+		m.setCoordinator(Peer{Node: row.Holder, Address: row.Address})
 		return nil
 	}
 	if !m.mayAcquire() {
 		return nil
 	}
-	return m.writeLease(ctx, revision, revision == 0)
+	return m.writeLease(ctx, row.revision, row.generation, row.revision == 0 && !row.fromCopy())
 }
 
 func (m *LeaseManager) mayAcquire() bool { return m.MayAcquire == nil || m.MayAcquire() }
@@ -310,13 +342,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
-	if err := m.writeLease(ctx, revision, false); err != nil {
+	if err := m.writeLease(ctx, revision, platform.Generation(revision), false); err != nil {
 		m.Logger.Log("event", "lease of the rates not renewed", "err", err)
 	}
 }
 
-// writeLease claims or renews the lease. first means that the lease row did not exist.
-func (m *LeaseManager) writeLease(ctx context.Context, expected uint64, first bool) error {
+// writeLease claims or renews the lease. first means that no node has held it before. If the
+// store was restored meanwhile, a node that holds the lease takes it back.
+func (m *LeaseManager) writeLease(ctx context.Context, expected, generation uint64, first bool) error {
+	err := m.writeLeaseOnce(ctx, expected, generation, first)
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return errors.Wrap(err, "write the lease")
+	}
+	row, readErr := m.readLease(ctx)
+	if readErr != nil {
+		return errors.Wrap(errors.CombineErrors(err, readErr), "write the lease")
+	}
+	if row.fromCopy() && m.holdsLease() {
+		m.Logger.Log("event", "lease of the rates taken back after a restoration", "copy_holder", row.Holder, "revision", row.revision)
+		return errors.Wrap(m.writeLeaseOnce(ctx, row.revision, row.generation, false), "take the lease back")
+	}
+	return m.handleConflict(row, err)
+}
+
+func (m *LeaseManager) writeLeaseOnce(ctx context.Context, expected, generation uint64, first bool) error {
 	storeNow, known := m.StoreNow()
 	if !known {
 		return errors.New("no estimate of the store's clock is available yet")
@@ -324,7 +374,7 @@
 	started := clock.Now()
 	record := leaseRecord{
 		Holder: m.Self.Node, Address: m.Self.Address, Incarnation: m.Incarnation,
-		UntilMillis: (storeNow + leaseDuration).Milliseconds(),
+		UntilMillis: (storeNow + leaseDuration).Milliseconds(), Generation: generation,
 	}
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -332,8 +382,9 @@
 	}
 	written, err := m.Table.Write(ctx, leaseKey, value, expected)
 	if err != nil {
-		return m.handleWriteError(ctx, err)
+		return err
 	}
+	m.observeStore(written.Revision, written.StoreTime)
 	m.mu.Lock()
 	m.revision, m.leaseEnd = written.Revision, started.Add(leaseDuration-leaseMargin)
 	acquired := m.buckets == nil
@@ -348,49 +399,52 @@
 	return nil
 }
 
-// handleWriteError handles a failed write. After a conflict it reads the row to find
-// the holder, because an earlier write of this node whose response was lost may have
-// taken effect. If the read fails too, this node keeps the lease until it expires,
-// because no other node claims it before.
-func (m *LeaseManager) handleWriteError(ctx context.Context, err error) error {
-	var conflict *platform.ConflictError
-	if !errors.As(err, &conflict) {
-		return errors.Wrap(err, "write the lease")
-	}
-	record, revision, _, readErr := m.readLease(ctx)
-	if readErr != nil {
-		return errors.Wrap(errors.CombineErrors(err, readErr), "write the lease")
-	}
+// handleConflict handles a write that conflicts with a row, which names the holder: an
+// earlier write of this node whose response was lost may have taken effect.
+func (m *LeaseManager) handleConflict(row leaseRow, err error) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if record.Holder == m.Self.Node && record.Incarnation == m.Incarnation {
-		m.revision = revision
-		m.Logger.Log("event", "lease of the rates kept after a lost answer", "revision", revision)
+	if row.Holder == m.Self.Node && row.Incarnation == m.Incarnation {
+		m.revision = row.revision
+		m.Logger.Log("event", "lease of the rates kept after a lost answer", "revision", row.revision)
 		return nil
 	}
 	if m.buckets != nil {
-		m.Logger.Log("event", "lease of the rates lost", "holder", record.Holder, "revision", revision)
+		m.Logger.Log("event", "lease of the rates lost", "holder", row.Holder, "revision", row.revision)
 	}
 	m.buckets, m.coordinator = nil, Peer{}
 	return errors.Wrap(err, "write the lease")
 }
 
-// readLease returns the lease, the revision of its row and the time of the store's clock.
-func (m *LeaseManager) readLease(ctx context.Context) (record leaseRecord, revision uint64, now time.Duration, err error) {
+// readLease reads the row of the lease.
+func (m *LeaseManager) readLease(ctx context.Context) (leaseRow, error) {
 	changes, err := m.Table.Read(ctx)
 	if err != nil {
-		return record, 0, 0, errors.Wrap(err, "read the lease")
+		return leaseRow{}, errors.Wrap(err, "read the lease")
 	}
+	m.observeStore(changes.Revision, changes.StoreTime)
+	out := leaseRow{generation: platform.Generation(changes.Revision), restored: platform.WasRestored(changes.Revision), readAt: changes.StoreTime}
 	for _, row := range changes.Rows {
 		if row.Key != leaseKey {
 			continue
 		}
-		revision = row.Revision
-		if err := json.Unmarshal(row.Value, &record); err != nil {
+		out.revision = row.Revision
+		if err := json.Unmarshal(row.Value, &out.leaseRecord); err != nil {
 			m.Logger.Log("event", "lease row refused", "err", err)
 		}
 	}
-	return record, revision, changes.StoreTime, nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if out.generation > m.generation {
+		m.generation, m.generationSeen = out.generation, clock.Now()
+	}
+	return out, nil
+}
+
+func (m *LeaseManager) observeStore(revision uint64, storeTime time.Duration) {
+	if m.ObserveStore != nil {
+		m.ObserveStore(revision, storeTime)
+	}
 }
 
 // Stop releases the lease permanently, so that another node becomes coordinator at once.
@@ -414,7 +468,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	m.Logger.Log("event", "lease of the rates given up", "revision", revision)
-	value, err := json.Marshal(leaseRecord{Holder: m.Self.Node, Address: m.Self.Address, Incarnation: m.Incarnation})
+	value, err := json.Marshal(leaseRecord{Holder: m.Self.Node, Address: m.Self.Address, Incarnation: m.Incarnation, Generation: platform.Generation(revision)})
 	if err == nil {
 		_, err = m.Table.Write(ctx, leaseKey, value, revision)
 	}
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -62,6 +62,9 @@
 	storeServer *httptest.Server
 	machines    []*machine
 	checker     *checker
+	// copies holds the last copies of the store; the newest is of copiedAt.
+	copies   []rowstore.Copy
+	copiedAt time.Time
 
 	mu      sync.Mutex
 	version int
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -21,6 +21,11 @@
 	limitFaultDuration = settleTime + limitWindow + time.Second
 	// limitFaultShare is the number of other faults for each fault of kind limitFault.
 	limitFaultShare = 4
+	// restoreShare is the number of other faults for each restoration of the store, and
+	// copyInterval and maxCopies set the ages of the copies from which it is restored.
+	restoreShare = 8
+	copyInterval = time.Second
+	maxCopies    = 8
 	// lateWriteDelay is the delay of writes that get no response.
 	lateWriteDelay = 2 * time.Second
 	// stallThreshold is the timer delay above which a stall counts as a fault of all
@@ -70,6 +75,30 @@
 	return func() { m.backend.SetLimit(0) }
 }}
 
+// restoreFault makes the store unreachable and brings it back from an older copy.
+var restoreFault = fault{name: "store restored", affectsStore: true, begin: func(d *deployment, _ *machine, r *rand.Rand) func() {
+	d.checker.beginFault("")
+	d.store.SetFaults(rowstore.Faults{Reset: true})
+	copied := d.copies[r.IntN(len(d.copies))]
+	return func() {
+		d.store.Restore(copied, "op")
+		d.store.SetFaults(rowstore.Faults{})
+		d.checker.endFault("")
+	}
+}}
+
+// keepCopy takes a copy of the store once a second.
+func (d *deployment) keepCopy(now time.Time) {
+	if now.Sub(d.copiedAt) < copyInterval {
+		return
+	}
+	d.copiedAt = now
+	d.copies = append(d.copies, d.store.Copy())
+	if len(d.copies) > maxCopies {
+		d.copies = d.copies[1:]
+	}
+}
+
 func linkProxyOf(m *machine) *Proxy  { return m.linkProxy }
 func storeProxyOf(m *machine) *Proxy { return m.storeProxy }
 func noop(*machine)                  {}
@@ -133,7 +162,8 @@
 // different kinds overlap.
 func (d *deployment) injectFaults(ctx context.Context, seed uint64, logf func(string, ...any)) {
 	r := rand.New(rand.NewPCG(seed, 0))
-	limits := rand.New(rand.NewPCG(seed, 1)) // Leaves the other faults of a seed as they were.
+	// Streams of their own leave the other faults of a seed as they were.
+	limits, restorations := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 	startedAt := time.Now()
 	active := make(map[string]bool)
 	type ending struct {
@@ -172,6 +202,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		endFaults(now, false)
+		d.keepCopy(now)
 		if !now.Before(next) {
 			f, m := faults[r.IntN(len(faults))], d.machines[r.IntN(len(d.machines))]
 			duration := time.Duration(r.Int64N(int64(maxFaultDuration)))
@@ -180,6 +211,9 @@
 			if limits.IntN(limitFaultShare) == 0 {
 				start(now, limitFault, d.machines[limits.IntN(len(d.machines))], limitFaultDuration, limits)
 			}
+			if restorations.IntN(restoreShare) == 0 {
+				start(now, restoreFault, d.machines[0], time.Duration(restorations.Int64N(int64(maxFaultDuration/2))), restorations)
+			}
 		}
 		sleep(ctx, 20*time.Millisecond)
 	}
