--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -35,6 +35,9 @@
 	maxHeadBytes = 64 << 10
 	// maxInformationalResponses bounds the 1xx responses before the final one.
 	maxInformationalResponses = 8
+	// maxFailedIDs bounds the request IDs that a connection keeps; after that many failed
+	// responses it is closed.
+	maxFailedIDs = 32
 )
 
 // UpstreamRequest is a request to a backend server.
@@ -109,6 +112,10 @@
 	idleSince time.Time
 	keepAlive time.Duration
 	counter   *countingReader
+	// failedIDs holds the requests that were refused or failed on this connection. A faulty
+	// backend server may repeat such a response, which would be taken for the answer to
+	// another attempt of the request.
+	failedIDs []string
 }
 
 // countingReader counts the bytes that are read and fails beyond limit.
@@ -162,7 +169,7 @@
 // getConn returns an idle connection or a new one, and whether it is reused.
 func (c *Client) getConn(ctx context.Context, req *UpstreamRequest) (*clientConn, bool, error) {
 	for {
-		conn := c.takeIdle()
+		conn := c.takeIdle(req.ID)
 		if conn == nil {
 			conn, err := c.dial(ctx)
 			return conn, false, err
@@ -175,18 +182,19 @@
 	}
 }
 
-// takeIdle removes the most recently used connection from the pool, so that the
-// others can expire.
-func (c *Client) takeIdle() *clientConn {
+// takeIdle removes the most recently used connection from the pool that has not answered an
+// earlier attempt of the request, so that the others can expire.
+func (c *Client) takeIdle(id string) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := len(c.idle)
-	if n == 0 {
-		return nil
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		conn := c.idle[i]
+		if !slices.Contains(conn.failedIDs, id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return conn
+		}
 	}
-	conn := c.idle[n-1]
-	c.idle = c.idle[:n-1]
-	return conn
+	return nil
 }
 
 func (c *Client) dial(ctx context.Context) (*clientConn, error) {
@@ -268,6 +276,10 @@
 	default:
 		reusable = false // The rest of the request body is still being written.
 	}
+	if resp.Status >= http.StatusBadRequest {
+		conn.failedIDs = append(conn.failedIDs, req.ID)
+		reusable = reusable && len(conn.failedIDs) < maxFailedIDs
+	}
 	return resp, reusable && conn.br.Buffered() == 0, nil
 }
 
