--- a/mesh/fleet/view.go
+++ b/mesh/fleet/view.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoildock.example/platform"
 	"trefoildock.example/routing"
 )
 
@@ -111,6 +112,9 @@
 	if m.Node == "" || m.Address == "" {
 		return nil, errors.New("member row without node or address")
 	}
+	if strings.Contains(m.Address, ":") && !platform.ValidPort(m.Address) {
+		return nil, errors.Newf("member row with address %.40q", m.Address)
+	}
 	return m, nil
 }
 
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"trefoildock.example/admission"
@@ -32,6 +33,9 @@
 	// by an earlier process is used without a heartbeat to this one. Heartbeats
 	// arrive every 1.5 s.
 	takeoverTimeout = 2500 * time.Millisecond
+	// maxStartAhead is how far the start time of a backend server may be ahead of this node's
+	// clock. A start time far ahead would make all later backend servers seem older.
+	maxStartAhead = time.Hour
 	// maxMissedHeartbeats is the number of heartbeat intervals without a heartbeat
 	// after which the backend server may have restarted cold.
 	maxMissedHeartbeats = 3
@@ -198,6 +202,10 @@
 // Announce records a heartbeat of the backend server. A late heartbeat of an
 // earlier incarnation is acknowledged and ignored.
 func (o *Owner) Announce(a platform.Announcement) error {
+	if a.StartedAt.After(time.Now().Add(maxStartAhead)) {
+		o.cfg.Logger.Log("event", "heartbeat refused", "backend", a.ID, "born", a.StartedAt.UnixMilli())
+		return errors.Newf("start time of %q is ahead of this node's clock", a.ID)
+	}
 	o.mu.Lock()
 	changed := o.applyHeartbeat(time.Now(), a)
 	o.mu.Unlock()
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -467,3 +467,17 @@
 	require.Equal(t, verdict.NotRun, err.Verdict)
 	require.Zero(t, s.requests.Load())
 }
+
+// Guards against an announcement of another writer that makes all later ones seem to be late.
+func TestAnnouncementFromTheFutureIsRefused(t *testing.T) {
+	o := newOwner(t, nil)
+	a := announcement(newTestBackend(t, respondOK))
+	odd := a
+	odd.ID, odd.StartedAt = "i-odd", time.Now().AddDate(50, 0, 0)
+	require.Error(t, o.Announce(odd))
+	a.StartedAt = time.Now()
+	require.NoError(t, o.Announce(a))
+	status, ok := o.Status()
+	require.True(t, ok)
+	require.Equal(t, a.ID, status.ID)
+}
