--- a/crashguard/registry.go
+++ b/crashguard/registry.go
@@ -16,6 +16,8 @@
 	coincidentTrials = 2
 	// maxRecentCrashes bounds the crashes that are compared.
 	maxRecentCrashes = 256
+	// maxKnownCrashes bounds the crashes that a record keeps.
+	maxKnownCrashes = 64
 	// maxTrial bounds the time for which a trial holds back other copies of the request.
 	maxTrial = 5 * time.Second
 )
@@ -234,6 +236,9 @@
 		if slices.Contains(s.crashes, n.Event) {
 			continue // Received before, or before the completion that cleared the request.
 		}
+		if len(s.crashes) == maxKnownCrashes {
+			s.crashes = s.crashes[1:]
+		}
 		s.crashes = append(s.crashes, n.Event)
 		s.cleared, s.blocked = false, s.blocked || q.Blocked
 		if q.Trial {
