--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -45,6 +45,7 @@
 // is allowed or the deadline has passed.
 func (e *Entry) run(ctx context.Context, q *request) (*h1.Response, error) {
 	budget := e.retryBudget(q)
+	e.chargeCall(ctx, q, budget)
 	first := e.startAttempt(ctx, q)
 	var last outcome
 	select {
@@ -194,6 +195,30 @@
 	return b
 }
 
+// chargeCall takes from the retry budget for a call that the backend server on this VM makes
+// for a request that was itself sent again: the service gets it because of a retry. What
+// the budget of this node lacks is taken from the fleet's.
+func (e *Entry) chargeCall(ctx context.Context, q *request, budget *retry.Budget) {
+	share := e.cfg.Owner.RepeatShare()
+	if share == 0 || !q.isOutboundCall() {
+		return
+	}
+	e.mu.Lock()
+	budget.Charge(time.Now(), share)
+	overdrawn := budget.Overdrawn()
+	e.mu.Unlock()
+	if !overdrawn {
+		return
+	}
+	go e.cfg.Recovery.Do("retry budget", q.id, func() {
+		if e.cfg.RateLimiter.TakeRetry(context.WithoutCancel(ctx), q.service, true) {
+			e.mu.Lock()
+			budget.Refund()
+			e.mu.Unlock()
+		}
+	})
+}
+
 // maxReservations bounds the reservations of one attempt whose owner then refuses to
 // start the request, for example because its backend server begins to drain.
 const maxReservations = 4
--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -35,7 +35,9 @@
 	store      *rowstore.Store
 	state      *fleet.State
 	executions atomic.Int32
-	respond    atomic.Pointer[func(w http.ResponseWriter, r *http.Request)]
+	// announcement is the first announcement of the backend server.
+	announcement platform.Announcement
+	respond      atomic.Pointer[func(w http.ResponseWriter, r *http.Request)]
 	// timeoutMillis is the value of the request's deadline header field, in milliseconds.
 	timeoutMillis string
 }
@@ -69,9 +71,10 @@
 		RouteName: func(_, target string) string { return target }, OnChange: func() {}, OnNotice: func(crashguard.Notice) {},
 		AllowResend: func(context.Context, string) bool { return true },
 	})
-	require.NoError(t, n.owner.Announce(platform.Announcement{
+	n.announcement = platform.Announcement{
 		ID: "i-1", Service: "orders", Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 1, Sequence: 1, StartedAt: time.UnixMilli(1),
-	}))
+	}
+	require.NoError(t, n.owner.Announce(n.announcement))
 	state := fleet.New(fleet.Config{
 		Self: fleet.Member{Node: "n", Zone: "z", Address: "n:1"}, Operator: client.Rows(platform.OperatorTable), Members: client.Rows("members"),
 		Backend: func() (*fleet.Backend, bool) {
--- a/mesh/entry/reserve.go
+++ b/mesh/entry/reserve.go
@@ -280,5 +280,6 @@
 	out := proto.CloneOf(q.offer)
 	e.mu.Unlock()
 	out.LastResort, out.TimeoutUs = o.GetLastResort(), o.GetTimeoutUs()
+	out.Repeat = q.attempts.Load() > 1
 	return out
 }
--- a/mesh/owner/outbound_calls.go
+++ b/mesh/owner/outbound_calls.go
@@ -58,3 +58,21 @@
 	}
 	return timedOut && (c.running > 0 || now.Sub(c.lastEnd) < outboundCallGrace && c.lastEnd.After(startedAt))
 }
+
+// RepeatShare returns the share of the running requests that were sent to a backend server
+// before. It estimates the probability that a call of this backend server is
+// made for such a request.
+func (o *Owner) RepeatShare() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.backend == nil || len(o.backend.inFlight) == 0 {
+		return 0
+	}
+	repeats := 0
+	for r := range o.backend.inFlight {
+		if r.offer.GetRepeat() {
+			repeats++
+		}
+	}
+	return float64(repeats) / float64(len(o.backend.inFlight))
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,6 +17,9 @@
 	// maxTokens is the capacity of the bucket. It keeps a long period without
 	// failures from allowing a burst of retries when a failure starts.
 	maxTokens = 10.0
+	// maxDebt bounds the tokens that a budget owes, so that it recovers within a few requests
+	// after a phase with many charges.
+	maxDebt = 4.0
 	// maxRefillInterval limits the time between two calls that adds tokens, so
 	// that a clock jump adds at most the tokens of one second.
 	maxRefillInterval = time.Second
@@ -59,6 +62,19 @@
 	b.tokens = min(b.tokens+config.TokensPerRequest, config.MaxTokens)
 }
 
+// Charge takes tokens for attempts that are made in any case. The budget may become negative,
+// by maxDebt at most.
+func (b *Budget) Charge(now time.Time, tokens float64) {
+	b.refill(now)
+	b.tokens = max(b.tokens-tokens, -maxDebt)
+}
+
+// Overdrawn reports whether at least one token is owed.
+func (b *Budget) Overdrawn() bool { return b.tokens <= -1 }
+
+// Refund returns a token that was taken from another budget in place of this one.
+func (b *Budget) Refund() { b.tokens++ }
+
 // effectiveConfig returns the configuration of the budget; a zero Budget uses
 // the default.
 func (b *Budget) effectiveConfig() BudgetConfig {
