--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -124,7 +124,7 @@
 	go func() { q <- n.send(t, "GET", "/a", "1") }()
 	require.Eventually(t, func() bool { return n.entry.cfg.Metrics.Requests.Count() == 1 }, 10*time.Second, time.Millisecond)
 	time.Sleep(20 * time.Millisecond) // The request has been offered and refused.
-	fingerprint := fingerprintOf(&request{Request: &h1.Request{Request: httptest.NewRequest("GET", "http://shop/a", nil)}}, "shopfront")
+	fingerprint := fingerprintOf(&request{Request: &h1.Request{Request: httptest.NewRequest(http.MethodGet, "http://shop/a", nil)}}, "shopfront")
 	n.entry.cfg.Crashes.Block(time.Now(), fingerprint, time.Minute)
 	n.owner.SetEvacuated(false)
 	resp := <-q
--- a/mesh/owner/crash.go
+++ b/mesh/owner/crash.go
@@ -145,7 +145,8 @@
 	if probe == nil {
 		probe = &crashProbe{done: make(chan struct{})}
 		b.probe = probe
-		go o.cfg.Recovery.Do("crash probe", r.offer.GetRequestId(), func() { o.runProbe(b, probe) })
+		address := b.announcement.Address
+		go o.cfg.Recovery.Do("crash probe", r.offer.GetRequestId(), func() { o.runProbe(b, probe, address) })
 	}
 	o.mu.Unlock()
 	select {
@@ -167,12 +168,12 @@
 
 // runProbe connects to the backend server. A refused connection shows that it has ended;
 // it may also reset single connections while it runs.
-func (o *Owner) runProbe(b *backend, probe *crashProbe) {
+func (o *Owner) runProbe(b *backend, probe *crashProbe, address string) {
 	defer close(probe.done)
-	refused := o.refusesConnections(b)
+	refused := o.refusesConnections(address)
 	if !refused {
 		time.Sleep(probePause)
-		refused = o.refusesConnections(b)
+		refused = o.refusesConnections(address)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -183,14 +184,14 @@
 	}
 }
 
-func (o *Owner) refusesConnections(b *backend) bool {
+func (o *Owner) refusesConnections(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	dial := o.cfg.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	conn, err := dial(ctx, "tcp", b.announcement.Address)
+	conn, err := dial(ctx, "tcp", address)
 	if err == nil {
 		conn.Close()
 		o.cfg.Metrics.Dials.Inc(1)
