--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -57,14 +57,15 @@
 		e.cfg.Metrics.Retries.Inc(1)
 		e.cfg.Logger.Log("event", "request sent again", "request", q.id, "attempts", q.attempts.Load(), "code", codeOf(last))
 		next := <-e.startAttempt(ctx, q)
-		if next.err != nil && last.resp != nil {
-			break // A response of a backend server is preferred to an error.
+		if last = betterOutcome(next, last); last != next {
+			break
 		}
-		last = next
 	}
 	return last.resp, last.err
 }
 
+func notRun(err error) bool { return verdict.FromError(err).Verdict == verdict.NotRun }
+
 func codeOf(o outcome) string {
 	if o.err != nil {
 		return verdict.FromError(o.err).Code
@@ -131,9 +132,10 @@
 	}
 }
 
-// betterOutcome returns a, unless a failed without a response and b has one.
+// betterOutcome returns a, unless a failed without a response and b has one, or may have run
+// although a did not: the caller must not be told that its request has not run.
 func betterOutcome(a, b outcome) outcome {
-	if a.failed() && b.resp != nil && a.resp == nil {
+	if a.err != nil && (b.resp != nil || notRun(a.err) && !notRun(b.err)) {
 		return b
 	}
 	return a
--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -255,3 +255,17 @@
 	n.entry.Stop()
 	require.Equal(t, 200, n.send(t, "GET", "/a", "1").Status, "outbound calls of the backend server are still accepted after Stop")
 }
+
+// Guards against the answer 'not run' to a request whose first attempt may have run, because
+// its second attempt was refused.
+func TestRefusedSecondAttemptDoesNotHideTheFirst(t *testing.T) {
+	n := newTestNode(t)
+	n.setResponse(func(http.ResponseWriter, *http.Request) {
+		n.owner.SetEvacuated(true)
+		panic(http.ErrAbortHandler)
+	})
+	resp := n.send(t, "GET", "/a", "1")
+	require.EqualValues(t, 1, n.executions.Load())
+	require.Equal(t, 502, resp.Status)
+	require.Equal(t, "may-have-run", resp.Header.Get("Trefoildock-Verdict"))
+}
