--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -57,9 +57,10 @@
 		e.cfg.Metrics.Retries.Inc(1)
 		e.cfg.Logger.Log("event", "request sent again", "request", q.id, "attempts", q.attempts.Load(), "code", codeOf(last))
 		next := <-e.startAttempt(ctx, q)
-		if last = betterOutcome(next, last); last != next {
+		if last.isPreferredTo(next) {
 			break
 		}
+		last = next
 	}
 	return last.resp, last.err
 }
@@ -132,15 +133,20 @@
 	}
 }
 
-// betterOutcome returns a, unless a failed without a response and b has one, or may have run
-// although a did not: the caller must not be told that its request has not run.
+// betterOutcome returns a, unless b is preferred to it.
 func betterOutcome(a, b outcome) outcome {
-	if a.err != nil && (b.resp != nil || notRun(a.err) && !notRun(b.err)) {
+	if b.isPreferredTo(a) {
 		return b
 	}
 	return a
 }
 
+// isPreferredTo reports whether the other attempt failed without a response, while this one has
+// one or may have run: the caller must not be told that its request has not run.
+func (o outcome) isPreferredTo(other outcome) bool {
+	return other.err != nil && (o.resp != nil || notRun(other.err) && !notRun(o.err))
+}
+
 func (q *request) retryRequest(attempts int) retry.Request {
 	return retry.Request{Idempotent: q.route.Idempotent, Attempts: min(attempts, retry.MaxAttempts-1), Deadline: q.deadline}
 }
