--- a/link/batch.go
+++ b/link/batch.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 type batchConn struct {
 	net.Conn
 	done chan struct{}
+	// lastRead is the time of the last byte that was read, in Unix nanoseconds.
+	lastRead atomic.Int64
 
 	mu           sync.Mutex
 	stateChanged sync.Cond
@@ -38,6 +41,15 @@
 	return b
 }
 
+// Read reads from the connection.
+func (b *batchConn) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	if n > 0 {
+		b.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // Write copies p to the pending data and returns without waiting for the
 // connection, unless too much data is pending.
 func (b *batchConn) Write(p []byte) (int, error) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -10,6 +10,7 @@
 	"crypto/x509/pkix"
 	"math/big"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +168,47 @@
 	require.NoError(t, err)
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
 }
+
+// silentConn is a connection whose written bytes are lost once silent is set.
+type silentConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a session that is used although its connection has gone silent without an
+// error, while new connections to the peer work.
+func TestPoolReplacesSilentSession(t *testing.T) {
+	address := startServer(t, newServer())
+	var silent []*atomic.Bool
+	p := newPool(t, "a", "c")
+	p.DisableKeepAlive = true
+	p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		silent = append(silent, new(atomic.Bool))
+		return silentConn{conn, silent[len(silent)-1]}, nil
+	}
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		_, err := p.Call(ctx, address, &wire.Call{Body: &wire.Call_Ping{Ping: &wire.Ping{}}})
+		return err
+	}
+	require.NoError(t, call(10*time.Second))
+	p.sessions[address].connectedAt = time.Now().Add(-minReplacementAge)
+	silent[0].Store(true)
+	require.Error(t, call(minSilence/4))
+	require.Len(t, silent, 1, "a late response is no silence")
+	require.Error(t, call(minSilence))
+	require.NoError(t, call(10*time.Second))
+	require.Len(t, silent, 2)
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -42,6 +42,7 @@
 	ready        chan struct{}
 	err          error
 	yamuxSession *yamux.Session
+	conn         *batchConn
 	peer         Peer
 	connectedAt  time.Time
 }
@@ -69,7 +70,40 @@
 		return nil, err
 	}
 	defer st.Close()
-	return st.call(ctx, call)
+	sent := time.Now()
+	a, err := st.call(ctx, call)
+	if err != nil {
+		p.CheckSilence(address, sent)
+	}
+	return a, err
+}
+
+const (
+	// minSilence is the time without any byte of the peer, after a message to it that it should
+	// have answered, from which a session is replaced. Peers answer within milliseconds.
+	minSilence = 400 * time.Millisecond
+	// minReplacementAge is the minimum age of a session that is replaced because of its
+	// silence, so that a peer that hangs does not cause a dial for each message.
+	minReplacementAge = time.Second
+)
+
+// CheckSilence replaces the session to address if nothing has arrived on it since a message was
+// sent that has not been answered in time. A connection may go silent without an
+// error while new ones work; without keep-alive pings only missing answers show it. Streams
+// that are open continue on the old session.
+func (p *Pool) CheckSilence(address string, sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sessions[address]
+	if s == nil || !s.isOpen() || time.Since(s.connectedAt) < minReplacementAge {
+		return
+	}
+	lastRead := time.Unix(0, s.conn.lastRead.Load())
+	if lastRead.After(sent) || time.Since(lastRead) < minSilence {
+		return
+	}
+	delete(p.sessions, address)
+	time.AfterFunc(drainPeriod, func() { s.yamuxSession.Close() })
 }
 
 func (s *Stream) call(ctx context.Context, call *wire.Call) (*wire.Answer, error) {
@@ -177,14 +211,17 @@
 	}
 }
 
+// drainPeriod is the time for which the open streams of a replaced session can complete.
+const drainPeriod = time.Minute
+
 // closeAfterDrain stops new streams on a replaced session and closes it after
-// 1 min, so that its open streams can complete.
+// drainPeriod.
 func (p *Pool) closeAfterDrain(s *session) {
 	if s.err != nil || s.yamuxSession.IsClosed() {
 		return
 	}
 	_ = s.yamuxSession.GoAway()
-	time.AfterFunc(time.Minute, func() { s.yamuxSession.Close() })
+	time.AfterFunc(drainPeriod, func() { s.yamuxSession.Close() })
 }
 
 func (p *Pool) discard(address string, s *session) {
@@ -199,32 +236,33 @@
 func (p *Pool) dial(address string, s *session) {
 	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
 	defer cancel()
-	s.yamuxSession, s.peer, s.err = p.connect(ctx, address)
+	s.yamuxSession, s.conn, s.peer, s.err = p.connect(ctx, address)
 	s.connectedAt = time.Now()
 	close(s.ready)
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (*yamux.Session, Peer, error) {
+func (p *Pool) connect(ctx context.Context, address string) (*yamux.Session, *batchConn, Peer, error) {
 	dial := p.Dial
 	if dial == nil {
 		dial = dialTCP
 	}
 	conn, err := dial(ctx, address)
 	if err != nil {
-		return nil, Peer{}, errors.Wrapf(err, "dial %s", address)
+		return nil, nil, Peer{}, errors.Wrapf(err, "dial %s", address)
 	}
 	if err := checkPlaintext(conn, p.TLS, p.AllowPlaintext); err != nil {
 		conn.Close()
-		return nil, Peer{}, err
+		return nil, nil, Peer{}, err
 	}
 	conn, err = p.handshakeTLS(ctx, conn)
 	if err != nil {
-		return nil, Peer{}, err
+		return nil, nil, Peer{}, err
 	}
-	yamuxSession, err := yamux.Client(newBatchConn(conn), sessionConfig(p.DisableKeepAlive))
+	batch := newBatchConn(conn)
+	yamuxSession, err := yamux.Client(batch, sessionConfig(p.DisableKeepAlive))
 	if err != nil {
 		conn.Close()
-		return nil, Peer{}, err
+		return nil, nil, Peer{}, err
 	}
 	peer, err := p.exchangeHello(ctx, yamuxSession)
 	if err == nil {
@@ -232,9 +270,9 @@
 	}
 	if err != nil {
 		yamuxSession.Close()
-		return nil, Peer{}, errors.Wrapf(err, "hello to %s", address)
+		return nil, nil, Peer{}, errors.Wrapf(err, "hello to %s", address)
 	}
-	return yamuxSession, peer, nil
+	return yamuxSession, batch, peer, nil
 }
 
 // checkCertificate rejects a peer whose certificate was issued to another node.
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -105,6 +105,7 @@
 	if ctx.Err() == nil {
 		e.peers.recordUnreachable(m.Node, time.Now())
 		e.cfg.Metrics.Unreachable.Inc(1)
+		e.cfg.Links.CheckSilence(m.Address, time.Now().Add(-offerTimeout))
 	}
 	err := verdict.NewNotRun(code, "the owner on node "+m.Node+" did not answer", time.Second)
 	err.Cause = cause
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -12,7 +12,8 @@
 // seeds are the seeds of the short run: 1, and each seed that reproduced a failure.
 var seeds = []uint64{
 	1,
-	213, // The simulated backend server bound a port that was selected for the process.
+	60024, // A connection to the coordinator went silent and stayed in the pool for a minute.
+	213,   // The simulated backend server bound a port that was selected for the process.
 }
 
 // Guards against violations of guarantees that callers or backend servers can observe
