--- a/mesh/fleet/crashes.go
+++ b/mesh/fleet/crashes.go
@@ -37,8 +37,10 @@
 func (s *State) RecordCrash(ctx context.Context, n crashguard.Notice) {
 	ctx, cancel := context.WithTimeout(ctx, crashguard.Expiry)
 	defer cancel()
-	now, _ := s.StoreNow()
-	record := crashRecord{Service: n.Service, StoreMillis: now.Milliseconds()}
+	record := crashRecord{Service: n.Service}
+	if now, known := s.StoreNow(); known {
+		record.StoreMillis = now.Milliseconds()
+	}
 	for _, q := range n.Requests {
 		record.Requests = append(record.Requests, crashedItem{Fingerprint: q.Fingerprint[:], Trial: q.Trial, Blocked: q.Blocked})
 	}
--- a/mesh/owner/crash.go
+++ b/mesh/owner/crash.go
@@ -33,12 +33,16 @@
 type lostRequest struct {
 	lostAt time.Time
 	crashguard.Involved
+	// survived means that the backend server accepted connections after the loss.
+	survived bool
 }
 
 // crashProbe is a running check whether the backend server has ended.
 type crashProbe struct {
-	done  chan struct{}
-	ended bool // Valid once done is closed.
+	done chan struct{}
+	// ended and accepted are the result, once done is closed; a connection attempt may also
+	// get no reply.
+	ended, accepted bool
 }
 
 // fingerprint returns the fingerprint of the request; false if it has none.
@@ -157,6 +161,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !probe.ended && !r.crashReported {
+		r.survived = probe.accepted
 		return err
 	}
 	return crashedError(err)
@@ -170,21 +175,24 @@
 // it may also reset single connections while it runs.
 func (o *Owner) runProbe(b *backend, probe *crashProbe, address string) {
 	defer close(probe.done)
-	refused := o.refusesConnections(address)
-	if !refused {
+	err := o.connect(address)
+	if !isRefused(err) {
 		time.Sleep(probePause)
-		refused = o.refusesConnections(address)
+		err = o.connect(address)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b.probe = nil
-	if refused {
-		probe.ended = true
+	probe.ended, probe.accepted = isRefused(err), err == nil
+	if probe.ended {
 		o.reportEnd(time.Now(), b)
 	}
 }
 
-func (o *Owner) refusesConnections(address string) bool {
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// connect opens a connection to the backend server and closes it.
+func (o *Owner) connect(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	dial := o.cfg.Dial
@@ -196,7 +204,7 @@
 		conn.Close()
 		o.cfg.Metrics.Dials.Inc(1)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
 }
 
 // reportEnd reports a crash after a refused connection. o.mu is held.
@@ -211,18 +219,22 @@
 		r.crashReported = true
 		b.lostRequests = append(b.lostRequests, lostRequest{lostAt: now, Involved: q})
 	}
-	o.reportCrash(now, b)
+	o.reportCrash(now, b, true)
 }
 
 // reportCrash reports the requests whose connection was lost shortly before the backend
-// server was found to have ended. A backend server that leaves ends as planned.
-// o.mu is held.
-func (o *Owner) reportCrash(now time.Time, b *backend) {
+// server was found to have ended: by a refused connection, or by a new incarnation. A
+// backend server that leaves ends as planned. o.mu is held.
+func (o *Owner) reportCrash(now time.Time, b *backend, refused bool) {
 	var requests []crashguard.Involved
 	for _, l := range b.lostRequests {
-		if now.Sub(l.lostAt) < crashWindow {
-			requests = append(requests, l.Involved)
+		switch {
+		case now.Sub(l.lostAt) >= crashWindow, refused && l.survived:
+			continue // It ended long after the request.
+		case l.survived:
+			l.Trial = false // It may have restarted within the probe, but probably later.
 		}
+		requests = append(requests, l.Involved)
 	}
 	b.lostRequests = nil
 	if len(requests) == 0 || b.leaving || b.announcement.Draining {
--- a/mesh/owner/crash_test.go
+++ b/mesh/owner/crash_test.go
@@ -93,6 +93,27 @@
 	require.Empty(t, notices)
 }
 
+// Guards against the block of a suspect that a live backend server has dropped and that ends
+// later for another reason.
+func TestLaterEndOfTheBackendServerIsNotBlamedOnATrial(t *testing.T) {
+	s := newTestBackend(t, func(conn net.Conn, _ *http.Request) { conn.Close() })
+	o, notices := newCrashOwner(t)
+	require.NoError(t, o.Announce(announcement(s)))
+	offer := newSuspectOffer("r1", 1)
+	offer.CrashSuspect = true
+	_, _, failure := sendOffer(o, offer)
+	require.Equal(t, CodeBackendLost, failure.Code)
+	for range 2 {
+		require.NotEqual(t, crashguard.Crashed, (<-notices).Kind)
+	}
+	a := announcement(s)
+	a.ID, a.StartedAt = "i-2", time.UnixMilli(2000)
+	require.NoError(t, o.Announce(a))
+	n := <-notices
+	require.Equal(t, crashguard.Crashed, n.Kind)
+	require.Equal(t, []crashguard.Involved{{Fingerprint: crashguard.Fingerprint{1}}}, n.Requests)
+}
+
 // Guards against a request that is blocked but runs, because it arrived before it was, and
 // against two suspects at once on a backend server, of which either could be the cause of
 // a crash.
--- a/mesh/owner/outcome.go
+++ b/mesh/owner/outcome.go
@@ -45,7 +45,7 @@
 		o.cfg.Logger.Log("event", "request lost with its connection", "request", r.offer.GetRequestId(), "backend", incarnationOf(b.announcement),
 			"fingerprint", hex.EncodeToString(r.offer.GetFingerprint()), "ms", latency.Milliseconds())
 		if q, ok := r.involved(); ok && !r.crashReported {
-			b.lostRequests = append(b.lostRequests, lostRequest{lostAt: now, Involved: q})
+			b.lostRequests = append(b.lostRequests, lostRequest{lostAt: now, Involved: q, survived: r.survived})
 		}
 	}
 	timedOut := deadlineExceeded(resp, e)
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -224,7 +224,7 @@
 			o.cfg.Logger.Log("event", "late heartbeat ignored", "backend", a.ID, "current", b.announcement.ID, "born", a.StartedAt.UnixMilli())
 			return false
 		}
-		o.reportCrash(now, b)
+		o.reportCrash(now, b, false)
 		o.retire(b)
 		b = nil
 	}
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,8 +67,10 @@
 	startedAt time.Time
 	// crashTrial identifies the trial of a request that may crash backend servers; empty
 	// if it is no suspect. crashReported is set once it was reported with a crash.
-	crashTrial    string
-	crashReported bool
+	// survived is set if the backend server accepted connections after that of the request was
+	// lost.
+	crashTrial              string
+	crashReported, survived bool
 	// route is the key of the latency baseline.
 	route string
 	// outboundWaitAtStart is outboundCalls.waitTime at startedAt.
@@ -351,8 +352,8 @@
 		o.mu.Lock()
 		b.lastConnectFailure = time.Now()
 		b.backoffUntil = b.lastConnectFailure.Add(connectBackoff)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			o.reportCrash(b.lastConnectFailure, b)
+		if isRefused(err) {
+			o.reportCrash(b.lastConnectFailure, b, true)
 		}
 		o.mu.Unlock()
 		e := verdict.NewNotRun(CodeDown, "no connection to the backend server", connectBackoff)
