--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -235,7 +235,9 @@
 func (e *Entry) attempt(ctx context.Context, q *request) (*h1.Response, error) {
 	var lastErr error
 	for reservations := 0; reservations < maxReservations; reservations++ {
+		e.waiting.Add(1)
 		r, o, err := e.reserve(ctx, q)
+		e.waiting.Add(-1)
 		if err != nil {
 			return nil, err
 		}
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -70,6 +70,8 @@
 	// stopped refuses the requests of callers, closed also the outbound calls of the backend
 	// server on this VM.
 	stopped, closed atomic.Bool
+	// waiting is the number of attempts that wait for an owner.
+	waiting atomic.Int32
 
 	mu        sync.Mutex
 	budgets   map[string]*retry.Budget
@@ -113,6 +115,9 @@
 	e.closed.Store(true)
 }
 
+// Waiting returns the number of attempts that have not been sent to a backend server yet.
+func (e *Entry) Waiting() int { return int(e.waiting.Load()) }
+
 // Handle handles one request. ctx ends when the caller closes the connection.
 func (e *Entry) Handle(ctx context.Context, r *h1.Request) *h1.Response {
 	q := &request{Request: r, id: e.headers.RequestID(r.Header), view: e.cfg.Fleet.View(), tried: make(map[string]bool)}
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -382,7 +382,7 @@
 func (n *Node) shutDown() {
 	started := time.Now()
 	n.draining.Store(true)
-	n.logger.Log("event", "node leaving", "callers", n.callerServer.Active(), "running", n.owner.Running())
+	n.logger.Log("event", "node leaving", "callers", n.callerServer.Active(), "waiting", n.entry.Waiting(), "running", n.owner.Running())
 	n.callerServer.Stop()
 	stopServing := time.AfterFunc(peerServePeriod, n.owner.Stop)
 	defer stopServing.Stop()
@@ -408,7 +408,7 @@
 	for n.callerServer.Active() > 0 && time.Now().Before(deadline) {
 		time.Sleep(idleBeforeExit / 4)
 	}
-	n.logger.Log("event", "node stopped", "callers", n.callerServer.Active(), "running", n.owner.Running(), "took", time.Since(started))
+	n.logger.Log("event", "node stopped", "callers", n.callerServer.Active(), "waiting", n.entry.Waiting(), "running", n.owner.Running(), "took", time.Since(started))
 }
 
 // handOver marks in the row of this node that the next process on this VM may take
