--- a/mesh/entry/attempts.go
+++ b/mesh/entry/attempts.go
@@ -111,7 +111,7 @@
 	e.mu.Lock()
 	allowed := budget.AllowHedge(time.Now(), q.retryRequest(int(q.attempts.Load())))
 	e.mu.Unlock()
-	if !allowed && (q.attempts.Load() != 1 || !e.cfg.RateLimiter.TakeRetry(ctx, q.service, e.hasTopPriority(q))) {
+	if e.tooLateToSend(q) || !allowed && (q.attempts.Load() != 1 || !e.cfg.RateLimiter.TakeRetry(ctx, q.service, e.hasTopPriority(q))) {
 		return <-first
 	}
 	e.cfg.Metrics.Hedges.Inc(1)
@@ -157,7 +157,7 @@
 	if !q.wasShed(last) && attempts >= q.route.MaxAttempts {
 		return false
 	}
-	if ctx.Err() != nil || attempts == 0 || attempts >= maxSends || last.err != nil && verdict.FromError(last.err).Code == owner.CodeCrashing {
+	if ctx.Err() != nil || e.tooLateToSend(q) || attempts == 0 || attempts >= maxSends || last.err != nil && verdict.FromError(last.err).Code == owner.CodeCrashing {
 		return false
 	}
 	v := verdict.MayHaveRun
@@ -234,12 +234,14 @@
 // attempt reserves a slot at an owner and runs the request there.
 func (e *Entry) attempt(ctx context.Context, q *request) (*h1.Response, error) {
 	var lastErr error
+	waitCtx, cancel := e.waitContext(ctx, q)
+	defer cancel()
 	for reservations := 0; reservations < maxReservations; reservations++ {
 		e.waiting.Add(1)
-		r, o, err := e.reserve(ctx, q)
+		r, o, err := e.reserve(waitCtx, q)
 		e.waiting.Add(-1)
 		if err != nil {
-			return nil, err
+			return nil, orStoppingError(waitCtx, err)
 		}
 		started := time.Now()
 		e.cfg.Logger.Log("event", "request sent", "request", q.id, "owner", r.member.Node, "zone", r.member.Zone,
@@ -262,8 +264,8 @@
 			e.cfg.Crashes.Block(time.Now(), q.fingerprint, refusal.RetryAfter)
 			return nil, err
 		case owner.CodeSuspectWaits:
-			if err := e.awaitSuspect(ctx, q, r.member, refusal); err != nil {
-				return nil, err
+			if err := e.awaitSuspect(waitCtx, q, r.member, refusal); err != nil {
+				return nil, orStoppingError(waitCtx, err)
 			}
 			reservations-- // The wait is bounded by the time that the request may wait.
 		}
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -70,6 +70,8 @@
 	// stopped refuses the requests of callers, closed also the outbound calls of the backend
 	// server on this VM.
 	stopped, closed atomic.Bool
+	// stop holds the end of the process once it is planned.
+	stop *plannedStop
 	// waiting is the number of attempts that wait for an owner.
 	waiting atomic.Int32
 
@@ -83,7 +85,10 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = crashguard.NewRegistry()
 	}
-	return &Entry{cfg: cfg, peers: newPeers(), budgets: make(map[string]*retry.Budget), latencies: make(map[string]time.Duration)}
+	return &Entry{
+		cfg: cfg, peers: newPeers(), budgets: make(map[string]*retry.Budget), latencies: make(map[string]time.Duration),
+		stop: newPlannedStop(),
+	}
 }
 
 // request is the state of a request in the entry.
@@ -106,7 +111,8 @@
 }
 
 // Stop refuses all further requests of callers. Outbound calls of the backend server
-// on this VM are still accepted, so that the requests that wait for them can finish.
+// on this VM are still accepted while they can finish in time (PlanStop), because requests
+// wait for them.
 func (e *Entry) Stop() { e.stopped.Store(true) }
 
 // Close refuses all further requests, so that none is running when the process ends.
@@ -173,8 +179,8 @@
 	if q.route == nil {
 		return refuse(http.StatusNotFound, "no-route", "no route matches the request")
 	}
-	if e.closed.Load() || e.stopped.Load() && !q.isOutboundCall() {
-		return verdict.NewNotRun("stopping", "this node is about to stop", defaultRetryAfter)
+	if e.closed.Load() || e.stopped.Load() && !q.isOutboundCall() || e.tooLateToSend(q) {
+		return stoppingError(nil)
 	}
 	if err := e.authenticate(q); err != nil {
 		return err
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -32,8 +32,6 @@
 type reservation struct {
 	member *fleet.Member
 	stream link.Exchange
-	// stop ends the watch that closes the stream when the context of the request ends.
-	stop func() bool
 }
 
 // offer sends an offer to an owner and waits for a reservation until the deadline.
@@ -62,7 +60,7 @@
 	switch b := reply.GetBody().(type) {
 	case *wire.Envelope_Admitted:
 		e.peers.updateLoad(m.Node, b.Admitted.GetLoad(), now)
-		return &reservation{member: m, stream: stream, stop: context.AfterFunc(ctx, func() { stream.Close() })}, nil
+		return &reservation{member: m, stream: stream}, nil
 	case *wire.Envelope_Abort:
 		stream.Close()
 		e.peers.updateLoad(m.Node, b.Abort.GetLoad(), now)
@@ -115,7 +113,7 @@
 // commit commits the reservation, sends the request and reads the response.
 func (e *Entry) commit(ctx context.Context, r *reservation, o *wire.Offer, body []byte) (*h1.Response, error) {
 	defer r.stream.Close()
-	defer r.stop()
+	defer context.AfterFunc(ctx, func() { r.stream.Close() })()
 	e.peers.beginRequest(r.member.Node)
 	defer e.peers.endRequest(r.member.Node)
 	if err := r.stream.Send(commitMessages(o, body)...); err != nil {
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -66,9 +66,6 @@
 	// acceptPeriod is the time after SIGTERM in which requests are still accepted. Later
 	// requests are refused, so that every accepted request can finish.
 	acceptPeriod = 2900 * time.Millisecond
-	// finalRefusalPeriod is the time before the end of the grace period in which outbound
-	// calls of the backend server are refused too, so that none is cut.
-	finalRefusalPeriod = 800 * time.Millisecond
 	// idleBeforeExit is how long the node must be without running requests before the
 	// process ends.
 	idleBeforeExit = 200 * time.Millisecond
@@ -391,8 +388,7 @@
 	stopAccepting := time.AfterFunc(acceptPeriod, n.entry.Stop)
 	defer stopAccepting.Stop()
 	deadline := started.Add(max(n.settings.Bounds.GracePeriod-killMargin, drainNotice))
-	closeEntry := time.AfterFunc(time.Until(deadline)-finalRefusalPeriod, n.entry.Close)
-	defer closeEntry.Stop()
+	n.entry.PlanStop(deadline)
 	idleSince := time.Now()
 	for time.Now().Before(deadline) {
 		if n.callerServer.Active() > 0 || n.owner.Running() > 0 {
--- a/mesh/process/stop_test.go
+++ b/mesh/process/stop_test.go
@@ -96,15 +96,115 @@
 	}
 }
 
+// patientConfig has a route whose requests wait for a backend server for up to 5.4 s.
+const patientConfig = `{"version":"r1","routes":{"columns":["name","host","prefix","type","timeout-ms","target-latency-ms","max-attempts","public","service"],"rows":[
+["order","shop","/","unsafe",9000,3000,2,false,"orders"]]},"services":{"columns":["name"],"rows":[["orders"]]},"tenants":{"columns":["name","api-keys"],"rows":[["blue",["k"]]]},"limits":{}}`
+
+// Guards against a planned stop that cuts requests which still wait for a backend server
+// when the process ends.
+func TestPlannedStopAnswersWaitingRequests(t *testing.T) {
+	const acceptedFor = 2700 * time.Millisecond // Below acceptPeriod.
+	blocked := make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-blocked }))
+	t.Cleanup(backend.Close)
+	t.Cleanup(sync.OnceFunc(func() { close(blocked) }))
+	store := rowstore.New()
+	store.Put(platform.OperatorTable, "config", []byte(patientConfig))
+	srv := httptest.NewServer(store)
+	t.Cleanup(srv.Close)
+	t.Cleanup(srv.CloseClientConnections)
+	gracePeriod := func(s *platform.Settings) { s.Bounds.GracePeriod = 4 * time.Second }
+	a, callers, stop := runServingNode(t, "a", srv.URL, backend.URL, 1, gracePeriod)
+	b, _, _ := runServingNode(t, "b", srv.URL, backend.URL, 1, gracePeriod)
+	for _, n := range []*Node{a, b} {
+		require.Eventually(t, func() bool { return n.ready() && len(n.fleet.View().Owners["orders"]) == 2 }, waitTimeout, 5*time.Millisecond)
+	}
+	var sends sync.WaitGroup
+	occupying := &executions{ids: make(map[string]bool)}
+	for i := range 2 {
+		sends.Go(func() { sendOnce(callers, fmt.Sprint("occupying", i), occupying) })
+	}
+	require.Eventually(t, func() bool { return a.owner.Running() > 0 && b.owner.Running() > 0 }, waitTimeout, 5*time.Millisecond)
+
+	answered := &executions{ids: make(map[string]bool)}
+	stopping := time.Now()
+	go stop()
+	var ids []string
+	for time.Since(stopping) < acceptedFor {
+		id := fmt.Sprint("waiting", len(ids))
+		ids = append(ids, id)
+		sends.Go(func() { sendOnce(callers, id, answered) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	sends.Wait()
+	for _, id := range ids {
+		require.True(t, answered.ids[id], "request %s was accepted and got no response", id)
+	}
+}
+
 // startServingNode runs a node with a backend server. It returns the address for callers
 // and a function that stops the node and waits until it has ended.
 func startServingNode(t *testing.T, name, storeURL, backendURL string) (n *Node, callers string, stop func()) {
+	t.Helper()
+	return runServingNode(t, name, storeURL, backendURL, 50, func(*platform.Settings) {})
+}
+
+// Guards against a planned stop that still sends a request to a backend server when the
+// process ends before the request can finish.
+func TestPlannedStopRefusesRequestsThatCannotFinish(t *testing.T) {
+	const workTime = 1200 * time.Millisecond
+	ran, answered := &executions{ids: make(map[string]bool)}, &executions{ids: make(map[string]bool)}
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.add(r.Header.Get("Request-Id"))
+		time.Sleep(workTime)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Seal", "s")
+		_, _ = fmt.Fprint(w, "ok")
+	}))
+	t.Cleanup(backend.Close)
+	store := rowstore.New()
+	store.Put(platform.OperatorTable, "config", []byte(publicConfig))
+	srv := httptest.NewServer(store)
+	t.Cleanup(srv.Close)
+	t.Cleanup(srv.CloseClientConnections)
+	gracePeriod := func(s *platform.Settings) { s.Bounds.GracePeriod = 4 * time.Second }
+	a, callers, stop := runServingNode(t, "a", srv.URL, backend.URL, 50, gracePeriod)
+	b, _, _ := runServingNode(t, "b", srv.URL, backend.URL, 50, gracePeriod)
+	for _, n := range []*Node{a, b} {
+		require.Eventually(t, func() bool { return n.ready() && len(n.fleet.View().Owners["orders"]) == 2 }, waitTimeout, 5*time.Millisecond)
+	}
+	sendOnce(callers, "first", answered)
+	require.True(t, answered.ids["first"])
+
+	var sends sync.WaitGroup
+	stopped := make(chan struct{})
+	go func() { stop(); close(stopped) }()
+	for i := 0; ; i++ {
+		select {
+		case <-stopped:
+		case <-time.After(50 * time.Millisecond):
+			sends.Go(func() { sendOnce(callers, fmt.Sprint("r", i), answered) })
+			continue
+		}
+		break
+	}
+	sends.Wait()
+	ran.mu.Lock()
+	defer ran.mu.Unlock()
+	for id := range ran.ids {
+		require.True(t, answered.ids[id], "request %s ran and got no response", id)
+	}
+}
+
+// runServingNode is startServingNode with a number of slots and with settings that configure changes.
+func runServingNode(t *testing.T, name, storeURL, backendURL string, slots int, configure func(*platform.Settings)) (n *Node, callers string, stop func()) {
 	t.Helper()
 	s := &platform.Settings{
 		Node: name, Zone: "z", IP: "127.0.0.1", BackendAddress: strings.TrimPrefix(backendURL, "http://"), BackendService: "orders",
 		Heartbeat: time.Second, StoreAddress: strings.TrimPrefix(storeURL, "http://"),
 		Bounds: platform.Bounds{RevocationDeadline: 5 * time.Second, RetryBudgetWindow: 10 * time.Second, RateWindow: 5 * time.Second, GracePeriod: 6 * time.Second},
 	}
+	configure(s)
 	listeners := make(openListeners)
 	_, s.FirstLinkPort = listeners.open(t)
 	s.ListenCallers, _ = listeners.open(t)
@@ -117,7 +217,7 @@
 	go func() { done <- n.Run(ctx) }()
 	stop = sync.OnceFunc(func() { cancel(); require.NoError(t, <-done) })
 	t.Cleanup(stop)
-	require.NoError(t, n.Announce(platform.Announcement{ID: "i-" + name, Service: "orders", Address: s.BackendAddress, Slots: 50, Sequence: 1, StartedAt: time.UnixMilli(1)}))
+	require.NoError(t, n.Announce(platform.Announcement{ID: "i-" + name, Service: "orders", Address: s.BackendAddress, Slots: slots, Sequence: 1, StartedAt: time.UnixMilli(1)}))
 	return n, s.ListenCallers, stop
 }
 
@@ -129,7 +229,7 @@
 		return // The node has stopped.
 	}
 	defer conn.Close()
-	_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: shop\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: shop\r\nAuthorization: Bearer k\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return
