--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -90,6 +90,7 @@
 		return s.rereadMembers(ctx, err)
 	}
 	s.storeClock.observe(written.Revision, written.StoreTime)
+	s.cfg.Logger.Log("event", "own row published", "revision", written.Revision)
 	row := platform.Change{Row: platform.Row{Key: key, Value: value, Revision: written.Revision}, Removed: value == nil}
 	s.runAndWait(ctx, func() {
 		s.table.put(row)
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -329,6 +329,7 @@
 // RestoreLeaving marks the backend server with the given ID as leaving, because it
 // has announced its departure to an earlier process.
 func (o *Owner) RestoreLeaving(id string) {
+	o.cfg.Logger.Log("event", "departure of the backend server read from the row of the earlier process", "backend", id)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.leavingBackendID = id
