--- a/mesh/fleet/fleet_test.go
+++ b/mesh/fleet/fleet_test.go
@@ -346,7 +346,7 @@
 			}
 		}
 	}()
-	require.NoError(t, s.publishOwnRow(ctx))
+	require.ErrorIs(t, s.publishOwnRow(ctx), errOwnRowUnknown)
 	_, present := fleet.store.Value("members", "member/a")
 	require.True(t, present)
 	known = true
--- a/mesh/fleet/publish.go
+++ b/mesh/fleet/publish.go
@@ -24,7 +24,7 @@
 		}
 		for ctx.Err() == nil {
 			err := s.publishOwnRow(ctx)
-			if err == nil {
+			if err == nil || errors.Is(err, errOwnRowUnknown) {
 				delay = minRetryDelay
 				break
 			}
@@ -35,8 +35,25 @@
 	}
 }
 
-// PublishNow writes the row of this node at once if it is outdated.
-func (s *State) PublishNow(ctx context.Context) error { return s.publishOwnRow(ctx) }
+// errOwnRowUnknown is returned until this node has read the members table or can publish a
+// backend server. The change of either triggers another publication.
+var errOwnRowUnknown = errors.New("the row of this node cannot be written yet")
+
+// PublishNow writes the row of this node if it is outdated. Without an error, the store holds
+// the state that the node had at the call, or a newer one. Failed writes are repeated until
+// ctx ends.
+func (s *State) PublishNow(ctx context.Context) error {
+	for {
+		err := s.publishOwnRow(ctx)
+		if err == nil {
+			return nil
+		}
+		clock.Sleep(ctx, minRetryDelay)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
 
 // ownRow returns the row of this node, and whether its state in the store is known. At
 // the first start of the deployment the row does not exist before this node writes it.
@@ -45,16 +62,23 @@
 	return m, ready
 }
 
-// publishOwnRow writes or deletes the row of this node if it is outdated.
+// publishOwnRow writes or deletes the row of this node if it is outdated. Concurrent calls
+// write one after another, because each write replaces the row of the previous one.
 func (s *State) publishOwnRow(ctx context.Context) error {
-	current, ready := s.ownRow(ctx)
-	if !ready {
-		return nil // The first read of the members table triggers another publication.
+	select {
+	case s.publishing <- struct{}{}:
+		defer func() { <-s.publishing }()
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+	current, ready := s.ownRow(ctx)
 	wanted := s.cfg.Self
-	backend, ok := s.cfg.Backend()
+	backend, known := s.cfg.Backend()
 	wanted.Backend = backend
-	if !ok || equalRecords(current, &wanted) {
+	if !ready || !known {
+		return errOwnRowUnknown
+	}
+	if equalRecords(current, &wanted) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
--- a/mesh/fleet/state.go
+++ b/mesh/fleet/state.go
@@ -115,6 +115,8 @@
 
 	tasks         chan func()
 	publishSignal chan struct{}
+	// publishing holds an element while the row of this node is written.
+	publishing chan struct{}
 	// stopped is closed when the event loop has ended.
 	stopped chan struct{}
 
@@ -149,7 +151,7 @@
 		cfg.Clock = clock.Now
 	}
 	s := &State{
-		cfg: cfg, storeClock: storeClock{clock: cfg.Clock}, tasks: make(chan func(), 64), publishSignal: make(chan struct{}, 1), stopped: make(chan struct{}),
+		cfg: cfg, storeClock: storeClock{clock: cfg.Clock}, tasks: make(chan func(), 64), publishSignal: make(chan struct{}, 1), publishing: make(chan struct{}, 1), stopped: make(chan struct{}),
 		table: rowTable{ownKey: memberPrefix + cfg.Self.Node}, members: make(map[string]*Member),
 	}
 	s.storeGate.close() // Until the node finds that it must read the store itself.
--- a/mesh/owner/notices.go
+++ b/mesh/owner/notices.go
@@ -14,6 +14,7 @@
 	o.mu.Lock()
 	known := b.leaving
 	b.leaving = true
+	o.recordDeparture(b)
 	o.updateGateState()
 	o.mu.Unlock()
 	if !known {
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -91,10 +91,10 @@
 	// out of service.
 	stopping, zoneEvacuated bool
 	running                 int
-	// leavingBackendID is the ID of a backend server that has announced its departure
-	// to an earlier process, or to this one before it knew the backend server.
-	leavingBackendID string
-	outbound         outboundCalls
+	// departed is the last departure that was announced to this process or to an earlier
+	// one.
+	departed departure
+	outbound outboundCalls
 }
 
 // backend is the state of one incarnation of the backend server. Its fields are
@@ -127,6 +127,20 @@
 	inFlight     map[*activeRequest]struct{}
 }
 
+// departure is the announced departure of a backend server.
+type departure struct {
+	id string
+	// startedBy is the latest start time of the runs that have left. A later one under the
+	// same ID is a new backend server.
+	startedBy time.Time
+}
+
+// includes reports whether a heartbeat comes from the backend server that has left. One
+// without a start time may be of any run.
+func (d departure) includes(a platform.Announcement) bool {
+	return d.id != "" && d.id == a.ID && !a.StartedAt.After(d.startedBy)
+}
+
 // New returns an Owner without a backend server.
 func New(cfg Config) *Owner {
 	if cfg.MaxResponseBytes == 0 {
@@ -161,12 +175,28 @@
 	if b == nil || b.takeoverExpired(now) {
 		return Status{}, false
 	}
+	return o.statusOf(b, now), true
+}
+
+func (o *Owner) statusOf(b *backend, now time.Time) Status {
 	a := b.announcement
 	return Status{
 		Reachable: !now.Before(b.backoffUntil) && now.Sub(b.lastHeartbeat) < 2*o.cfg.Heartbeat,
 		ID:        a.ID, Service: a.Service, Slots: a.Slots, StartedAt: a.StartedAt,
 		Serving: !b.leaving && !a.Draining, Leaving: b.leaving || a.Draining,
-	}, true
+	}
+}
+
+// Departed returns the state of a backend server that has left, while no other one is
+// known. The next process must know the departure too.
+func (o *Owner) Departed() (Status, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if o.departed.id == "" || o.backend != nil && !o.backend.takeoverExpired(now) {
+		return Status{}, false
+	}
+	return Status{ID: o.departed.id, Leaving: true, StartedAt: o.departed.startedBy}, true
 }
 
 // Running returns the number of requests that are queued or running at this owner.
@@ -240,6 +270,7 @@
 	before := b.announcement
 	a.Draining = a.Draining || before.Draining
 	b.announcement = a
+	o.recordDeparture(b)
 	if a.ColdStartRemaining > 0 {
 		b.coldUntil = now.Add(a.ColdStartRemaining)
 	}
@@ -264,7 +295,7 @@
 }
 
 func (o *Owner) newBackend(now time.Time, a platform.Announcement) *backend {
-	b := &backend{announcement: a, lastHeartbeat: now, inFlight: make(map[*activeRequest]struct{}), leaving: a.ID == o.leavingBackendID}
+	b := &backend{announcement: a, lastHeartbeat: now, inFlight: make(map[*activeRequest]struct{}), leaving: o.departed.includes(a)}
 	b.gate = admission.NewGate(admission.Config{
 		ReservationTimeout: reservationTimeout, WarmStart: true,
 		OnViolation: func(detail string) { o.cfg.Logger.Log("event", "admission limit broken", "detail", detail) },
@@ -277,9 +308,18 @@
 	if a.ColdStartRemaining > 0 {
 		b.coldUntil = now.Add(a.ColdStartRemaining)
 	}
+	o.recordDeparture(b)
 	return b
 }
 
+// recordDeparture remembers that a backend server leaves, for heartbeats that arrive late at
+// this process or at the next one. o.mu is held.
+func (o *Owner) recordDeparture(b *backend) {
+	if b.leaving || b.announcement.Draining {
+		o.departed = departure{id: b.announcement.ID, startedBy: b.announcement.StartedAt}
+	}
+}
+
 // Leave records that the backend server leaves. Requests in flight finish.
 func (o *Owner) Leave(id string) error {
 	o.mu.Lock()
@@ -288,13 +328,15 @@
 	switch {
 	case matches:
 		b.leaving = true
+		o.recordDeparture(b)
 		o.updateGateState()
 	case b == nil:
-		o.leavingBackendID = id // This process may still take it over from the earlier one.
+		// This process may still take it over from the earlier one.
+		o.departed = departure{id: id, startedBy: time.Now()}
 	}
 	o.mu.Unlock()
 	o.cfg.Logger.Log("event", "backend server leaves", "backend", id, "known", matches)
-	if matches {
+	if matches || b == nil {
 		o.cfg.OnChange()
 	}
 	return nil
@@ -314,8 +356,8 @@
 		o.updateGateState()
 	}
 	o.mu.Unlock()
-	o.cfg.Logger.Log("event", "backend server taken over from the earlier process", "backend", a.ID, "adopted", takenOver)
 	if takenOver {
+		o.cfg.Logger.Log("event", "backend server taken over from the earlier process", "backend", a.ID)
 		o.cfg.OnChange()
 	}
 }
@@ -326,14 +368,18 @@
 	return !b.takeoverDeadline.IsZero() && !now.Before(b.takeoverDeadline)
 }
 
-// RestoreLeaving marks the backend server with the given ID as leaving, because it
-// has announced its departure to an earlier process.
-func (o *Owner) RestoreLeaving(id string) {
-	o.cfg.Logger.Log("event", "departure of the backend server read from the row of the earlier process", "backend", id)
+// RestoreLeaving marks the backend server with the given ID and start time as leaving,
+// because it has announced its departure to an earlier process.
+func (o *Owner) RestoreLeaving(id string, startedAt time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.leavingBackendID = id
-	if b := o.backend; b != nil && b.announcement.ID == id {
+	restored := departure{id: id, startedBy: startedAt}
+	if o.departed == restored {
+		return
+	}
+	o.cfg.Logger.Log("event", "departure of the backend server read from the row of the earlier process", "backend", id)
+	o.departed = restored
+	if b := o.backend; b != nil && restored.includes(b.announcement) {
 		b.leaving = true
 		o.updateGateState()
 	}
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -208,7 +208,7 @@
 		"zone evacuated":         func(o *Owner, _ platform.Announcement) { o.SetEvacuated(true) },
 		"process stops":          func(o *Owner, _ platform.Announcement) { o.Stop() },
 		"left before a restart": func(o *Owner, a platform.Announcement) {
-			o.RestoreLeaving(a.ID)
+			o.RestoreLeaving(a.ID, a.StartedAt)
 		},
 	}
 	for name, f := range leave {
@@ -481,3 +481,21 @@
 	require.True(t, ok)
 	require.Equal(t, a.ID, status.ID)
 }
+
+// Guards against a backend server that stays out of service because an earlier run under its
+// ID has left, and against a late heartbeat that puts that earlier run back into service.
+func TestBackendServerThatBeginsAgainAfterItsDepartureIsUsed(t *testing.T) {
+	s := newTestBackend(t, respondOK)
+	o := newOwner(t, nil)
+	late := announcement(s)
+	o.RestoreLeaving(late.ID, late.StartedAt)
+	require.NoError(t, o.Announce(late))
+	_, _, failure := sendOffer(o, newOffer("a"))
+	require.NotNil(t, failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	again := late
+	again.StartedAt = late.StartedAt.Add(time.Second)
+	require.NoError(t, o.Announce(again))
+	_, _, failure = sendOffer(o, newOffer("b"))
+	require.Nil(t, failure)
+}
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -46,9 +46,6 @@
 	// maxReadyAge is the age of the last confirmation of the configuration from which a
 	// node is not ready.
 	maxReadyAge = 4200 * time.Millisecond
-	// firstHeartbeatTimeout is the time after the start within which a live backend
-	// server announces itself: two heartbeat intervals and a margin.
-	firstHeartbeatTimeout = 4 * time.Second
 	// tickInterval is the time between two checks for requests that waited too long.
 	tickInterval = 100 * time.Millisecond
 	// drainNotice is the time after SIGTERM within which callers detect that the node is
@@ -58,9 +55,6 @@
 	// new requests of other nodes. It is below drainNotice, so that these requests
 	// finish by the end of drainNotice.
 	peerServePeriod = 1600 * time.Millisecond
-	// maxHandoverAge is the time after its start within which a process may take over
-	// the backend server of an earlier process.
-	maxHandoverAge = time.Second
 	// handoverTimeout bounds the handover of the backend server to the next process.
 	handoverTimeout = 400 * time.Millisecond
 	// acceptPeriod is the time after SIGTERM in which requests are still accepted. Later
@@ -118,7 +112,6 @@
 	openListener      func(options net.ListenConfig, address string) (net.Listener, error)
 	draining          atomic.Bool
 	heartbeatsStopped atomic.Bool
-	restoreOnce       sync.Once
 	// background ends when the process has shut down.
 	background         context.Context //nolint:containedctx // ends with the node
 	cancel             func()
@@ -272,48 +265,6 @@
 	return entry.ErrorResponse(entry.ErrPanic)
 }
 
-// publishedBackend returns the backend server for the row of this node in the store.
-// Within firstHeartbeatTimeout of the start it returns false until a heartbeat is
-// received, so that the row of the earlier process stays.
-func (n *Node) publishedBackend() (*fleet.Backend, bool) {
-	s, ok := n.owner.Status()
-	if !ok {
-		return nil, time.Since(n.startedAt) > firstHeartbeatTimeout
-	}
-	b := &fleet.Backend{
-		ID: s.ID, Service: s.Service, Slots: s.Slots, Serving: s.Serving, Leaving: s.Leaving, StartMillis: s.StartedAt.UnixMilli(),
-	}
-	if n.heartbeatsStopped.Load() {
-		b.Serving = b.Serving && s.Reachable
-		b.HandedOver = b.Serving
-	}
-	return b, true
-}
-
-// applyView applies a new view to the owner. The first row of this node restores the
-// state of the backend server from the earlier process.
-func (n *Node) applyView(v *fleet.View) {
-	n.owner.SetEvacuated(v.EvacuatedZones[n.settings.Zone])
-	if ownRow := v.Nodes[n.settings.Node]; ownRow != nil {
-		n.restoreOnce.Do(func() { n.restoreBackend(ownRow) })
-	}
-}
-
-// restoreBackend restores the state of the backend server from the row of the earlier
-// process.
-func (n *Node) restoreBackend(earlier *fleet.Member) {
-	b := earlier.Backend
-	switch {
-	case b == nil || earlier.Incarnation == n.incarnation:
-	case b.Leaving:
-		n.owner.RestoreLeaving(b.ID)
-	case b.HandedOver && time.Since(n.startedAt) < maxHandoverAge:
-		n.owner.TakeOver(platform.Announcement{
-			ID: b.ID, Service: b.Service, Address: n.settings.BackendAddress, Slots: b.Slots, StartedAt: time.UnixMilli(b.StartMillis),
-		})
-	}
-}
-
 // mayCoordinate reports whether this node may be the coordinator of the rate limits. A
 // VM whose backend server leaves is removed soon. Right after a restart, only the row of
 // the earlier process shows whether the backend server is serving.
@@ -326,12 +277,6 @@
 	return len(view.Nodes) == 0 || ownRow != nil && ownRow.Backend != nil && ownRow.Backend.Serving
 }
 
-// Announce implements platform.AnnouncementReceiver.
-func (n *Node) Announce(a platform.Announcement) error { return n.owner.Announce(a) }
-
-// Leave implements platform.AnnouncementReceiver.
-func (n *Node) Leave(id string) error { return n.owner.Leave(id) }
-
 // ready reports whether callers should send new requests to this node.
 func (n *Node) ready() bool {
 	if n.draining.Load() {
--- a/mesh/process/stop_test.go
+++ b/mesh/process/stop_test.go
@@ -198,9 +198,31 @@
 
 // runServingNode is startServingNode with a number of slots and with settings that configure changes.
 func runServingNode(t *testing.T, name, storeURL, backendURL string, slots int, configure func(*platform.Settings)) (n *Node, callers string, stop func()) {
+	t.Helper()
+	n, stop = runNode(t, name, storeURL, strings.TrimPrefix(backendURL, "http://"), configure)
+	a := heartbeatOf(name, 1)
+	a.Address, a.Slots = n.settings.BackendAddress, slots
+	require.NoError(t, n.Announce(t.Context(), a))
+	return n, n.settings.ListenCallers, stop
+}
+
+// runNodeWithoutBackend runs a node whose backend server has not announced itself yet.
+func runNodeWithoutBackend(t *testing.T, name, storeURL string) *Node {
+	t.Helper()
+	n, _ := runNode(t, name, storeURL, "127.0.0.1:1", func(*platform.Settings) {})
+	return n
+}
+
+// heartbeatOf returns a heartbeat of the backend server of a node.
+func heartbeatOf(name string, sequence int64) platform.Announcement {
+	return platform.Announcement{ID: "i-" + name, Service: "orders", Address: "127.0.0.1:1", Slots: 50, Sequence: sequence, StartedAt: time.UnixMilli(1)}
+}
+
+// runNode runs a node, and returns a function that stops it and waits until it has ended.
+func runNode(t *testing.T, name, storeURL, backendAddress string, configure func(*platform.Settings)) (n *Node, stop func()) {
 	t.Helper()
 	s := &platform.Settings{
-		Node: name, Zone: "z", IP: "127.0.0.1", BackendAddress: strings.TrimPrefix(backendURL, "http://"), BackendService: "orders",
+		Node: name, Zone: "z", IP: "127.0.0.1", BackendAddress: backendAddress, BackendService: "orders",
 		Heartbeat: time.Second, StoreAddress: strings.TrimPrefix(storeURL, "http://"),
 		Bounds: platform.Bounds{RevocationDeadline: 5 * time.Second, RetryBudgetWindow: 10 * time.Second, RateWindow: 5 * time.Second, GracePeriod: 6 * time.Second},
 	}
@@ -217,8 +239,7 @@
 	go func() { done <- n.Run(ctx) }()
 	stop = sync.OnceFunc(func() { cancel(); require.NoError(t, <-done) })
 	t.Cleanup(stop)
-	require.NoError(t, n.Announce(platform.Announcement{ID: "i-" + name, Service: "orders", Address: s.BackendAddress, Slots: slots, Sequence: 1, StartedAt: time.UnixMilli(1)}))
-	return n, s.ListenCallers, stop
+	return n, stop
 }
 
 // sendOnce sends a request on a new connection and records its ID if a complete response
