--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -271,9 +271,7 @@
 	a.Draining = a.Draining || before.Draining
 	b.announcement = a
 	o.recordDeparture(b)
-	if a.ColdStartRemaining > 0 {
-		b.coldUntil = now.Add(a.ColdStartRemaining)
-	}
+	o.observeCold(now, b, a.ColdStartRemaining, "heartbeat")
 	b.gate.Announce(admission.Announcement{Slots: a.Slots, Incarnation: incarnationOf(a)})
 	o.updateGateState()
 	return before.Draining != a.Draining || before.Slots != a.Slots
@@ -305,9 +303,7 @@
 		Address: a.Address, RequestID: o.headers.RequestID, MaxBodyBytes: o.cfg.MaxResponseBytes, Dial: o.cfg.Dial,
 		OnDial: func() { o.cfg.Metrics.Dials.Inc(1) },
 	}
-	if a.ColdStartRemaining > 0 {
-		b.coldUntil = now.Add(a.ColdStartRemaining)
-	}
+	o.observeCold(now, b, a.ColdStartRemaining, "heartbeat")
 	o.recordDeparture(b)
 	return b
 }
@@ -419,6 +415,17 @@
 	}
 }
 
+// observeCold records how long the backend server says that it stays cold.
+func (o *Owner) observeCold(now time.Time, b *backend, remaining time.Duration, source string) {
+	if remaining <= 0 {
+		return
+	}
+	if !now.Before(b.coldUntil) {
+		o.cfg.Logger.Log("event", "backend server is cold", "backend", b.announcement.ID, "remaining", remaining, "source", source)
+	}
+	b.coldUntil = now.Add(remaining)
+}
+
 // coldRateLimit returns the number of requests per second that may be sent to the
 // backend server; 0 means no limit. Only heartbeats show whether a backend server
 // is cold, so the limit also applies while they are overdue and after a failed
