--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -67,7 +67,7 @@
 	bounds := platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, RetryBudgetWindow: 10 * time.Second, RevocationDeadline: 5 * time.Second}
 	n.owner = owner.New(owner.Config{
 		Bounds: bounds, Heartbeat: time.Second, Logger: log.NewNopLogger(), Metrics: owner.NewMetrics(registry),
-		ColdStart: func(string) (time.Duration, float64) { return 0, 0 },
+		Service:   func(string) *routing.Service { return nil },
 		RouteName: func(_, target string) string { return target }, OnChange: func() {}, OnNotice: func(crashguard.Notice) {},
 		AllowResend: func(context.Context, string) bool { return true },
 	})
--- a/mesh/owner/health_test.go
+++ b/mesh/owner/health_test.go
@@ -111,7 +111,7 @@
 	var w slidingWindow
 	var sent []time.Duration
 	for now := time.Duration(0); now < 3*time.Second; now += 7 * time.Millisecond {
-		if w.waitTime(at(now), 5) == 0 && w.allow(at(now), 5) {
+		if w.waitTime(at(now), 5, time.Time{}) == 0 && w.allow(at(now), 5, time.Time{}) {
 			sent = append(sent, now)
 		}
 	}
--- a/mesh/owner/metrics.go
+++ b/mesh/owner/metrics.go
@@ -6,8 +6,8 @@
 type Metrics struct {
 	// Dispatched counts the requests sent to the backend server, Dials the new
 	// connections to it, SuspicionChanges the starts and ends of suspicions, and Crashes
-	// its restarts with requests in flight.
-	Dispatched, Dials, SuspicionChanges, Crashes metrics.Counter
+	// its restarts with requests in flight. HealthChecks counts the health checks of it.
+	Dispatched, Dials, SuspicionChanges, Crashes, HealthChecks metrics.Counter
 	// BackendLatency is the latency of the backend server in microseconds.
 	BackendLatency metrics.Histogram
 }
@@ -26,6 +26,7 @@
 		Dials:            metrics.NewRegisteredCounter("owner.backend_connections", r),
 		SuspicionChanges: metrics.NewRegisteredCounter("owner.suspicion_changes", r),
 		Crashes:          metrics.NewRegisteredCounter("owner.crashes", r),
+		HealthChecks:     metrics.NewRegisteredCounter("owner.health_checks", r),
 		BackendLatency:   NewLatency("owner.backend_latency_us", r),
 	}
 }
--- a/mesh/owner/notices.go
+++ b/mesh/owner/notices.go
@@ -30,7 +30,8 @@
 		return false
 	}
 	o.mu.Lock()
-	ok := b.namedLimit.take(time.Now())
+	now := time.Now()
+	ok := o.takeCold(now, b) && b.namedLimit.take(now)
 	o.mu.Unlock()
 	return ok && o.cfg.AllowResend(r.ctx, r.offer.GetService())
 }
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -20,6 +20,7 @@
 	"trefoildock.example/mesh/h1"
 	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/platform"
+	"trefoildock.example/routing"
 )
 
 const (
@@ -36,12 +37,6 @@
 	// maxStartAhead is how far the start time of a backend server may be ahead of this node's
 	// clock. A start time far ahead would make all later backend servers seem older.
 	maxStartAhead = time.Hour
-	// maxMissedHeartbeats is the number of heartbeat intervals without a heartbeat
-	// after which the backend server may have restarted cold.
-	maxMissedHeartbeats = 3
-	// coldRateMargin, in requests per second, keeps the rate of a backend server that
-	// may be cold below its upper bound.
-	coldRateMargin = 2
 	// defaultMaxResponseBytes bounds a response body, which is buffered completely before
 	// it is forwarded, if Config.MaxResponseBytes is 0.
 	defaultMaxResponseBytes = 64 << 20
@@ -53,9 +48,8 @@
 	Bounds platform.Bounds
 	// Heartbeat is the interval of the backend server's heartbeats.
 	Heartbeat time.Duration
-	// ColdStart returns the duration of a cold start of the service's backend servers
-	// and the rate in requests per second that they tolerate meanwhile; 0 if unknown.
-	ColdStart func(service string) (time.Duration, float64)
+	// Service returns the configuration of a service; nil if it is unknown.
+	Service func(name string) *routing.Service
 	// RouteName returns the name of a request's route, or "" if it is unknown. Latency
 	// baselines are kept for each route.
 	RouteName func(host, target string) string
@@ -105,8 +99,7 @@
 	gate         *admission.Gate
 	client       *h1.Client
 	health       health
-	coldWindow   slidingWindow
-	coldUntil    time.Time
+	cold         coldProtection
 	namedLimit   namedLimit
 	// answered is set once a response of the backend server has been received. Until then,
 	// the limits that entries report are used.
@@ -414,32 +407,3 @@
 		b.gate.Tick()
 	}
 }
-
-// observeCold records how long the backend server says that it stays cold.
-func (o *Owner) observeCold(now time.Time, b *backend, remaining time.Duration, source string) {
-	if remaining <= 0 {
-		return
-	}
-	if !now.Before(b.coldUntil) {
-		o.cfg.Logger.Log("event", "backend server is cold", "backend", b.announcement.ID, "remaining", remaining, "source", source)
-	}
-	b.coldUntil = now.Add(remaining)
-}
-
-// coldRateLimit returns the number of requests per second that may be sent to the
-// backend server; 0 means no limit. Only heartbeats show whether a backend server
-// is cold, so the limit also applies while they are overdue and after a failed
-// connection attempt.
-func (o *Owner) coldRateLimit(now time.Time, b *backend) int {
-	_, rate := o.cfg.ColdStart(b.announcement.Service)
-	if rate <= 0 {
-		return 0
-	}
-	if now.Before(b.coldUntil) {
-		return max(int(rate), 1)
-	}
-	if now.Sub(b.lastHeartbeat) < maxMissedHeartbeats*o.cfg.Heartbeat && b.lastHeartbeat.After(b.lastConnectFailure) {
-		return 0
-	}
-	return max(int(rate*o.cfg.Bounds.ColdStartRateFactor+o.cfg.Bounds.ColdStartRateSlack)-coldRateMargin, 1)
-}
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -18,6 +18,7 @@
 	"trefoildock.example/crashguard"
 	"trefoildock.example/link"
 	"trefoildock.example/platform"
+	"trefoildock.example/routing"
 	"trefoildock.example/verdict"
 	"trefoildock.example/wire"
 )
@@ -75,7 +76,7 @@
 	return New(Config{
 		Bounds:      platform.Bounds{ColdStartRateFactor: 1.5, ColdStartRateSlack: 5},
 		Heartbeat:   time.Second,
-		ColdStart:   func(string) (time.Duration, float64) { return 3 * time.Second, 4 },
+		Service:     func(string) *routing.Service { return &routing.Service{ColdStartRate: 4} },
 		RouteName:   func(_, target string) string { return target },
 		AllowResend: func(context.Context, string) bool { return false },
 		OnChange:    func() {}, OnNotice: func(n crashguard.Notice) {
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -183,11 +183,9 @@
 		return nil, verdict.NewNotRun(CodeSuspected, "the backend server failed its last requests", time.Second)
 	}
 	r.trial = trial
-	if limit := o.coldRateLimit(now, b); limit > 0 {
-		if wait := b.coldWindow.waitTime(now, limit); wait > 0 {
-			b.health.cancel(trial)
-			return nil, verdict.NewNotRun(CodeCold, "the backend server tolerates no more requests within this second", wait)
-		}
+	if wait := o.coldWaitTime(now, b); wait > 0 {
+		b.health.cancel(trial)
+		return nil, coldError(wait)
 	}
 	if rate := r.offer.GetNamedLimit(); rate > 0 && !b.answered {
 		b.namedLimit.set(now, rate)
@@ -199,6 +197,10 @@
 	return b, nil
 }
 
+func coldError(wait time.Duration) error {
+	return verdict.NewNotRun(CodeCold, "the backend server tolerates no more requests within this second", wait)
+}
+
 func limitedError(wait time.Duration) error {
 	return verdict.NewNotRun(CodeLimited, "the backend server takes no more requests for now", wait)
 }
@@ -280,8 +282,8 @@
 	if err := o.checkSuspect(now, r, b); err != nil {
 		return err
 	}
-	if limit := o.coldRateLimit(now, b); limit > 0 && !b.coldWindow.allow(now, limit) {
-		return verdict.NewNotRun(CodeCold, "the backend server tolerates no more requests within this second", b.coldWindow.waitTime(now, limit))
+	if !o.takeCold(now, b) {
+		return coldError(o.coldWaitTime(now, b))
 	}
 	if !b.namedLimit.take(now) {
 		return limitedError(b.namedLimit.waitTime(now))
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -26,6 +26,7 @@
 	"trefoildock.example/mesh/quota"
 	"trefoildock.example/mesh/recovery"
 	"trefoildock.example/platform"
+	"trefoildock.example/routing"
 	"trefoildock.example/verdict"
 )
 
@@ -173,7 +174,7 @@
 		OnError: func(err error) { n.logger.Log("event", "link closed", "err", err) },
 	}
 	n.owner = owner.New(owner.Config{
-		Bounds: s.Bounds, Heartbeat: s.Heartbeat, ColdStart: n.coldStart, RouteName: n.routeName, Logger: n.logger, Metrics: owner.NewMetrics(n.registry), Recovery: n.recovery,
+		Bounds: s.Bounds, Heartbeat: s.Heartbeat, Service: n.service, RouteName: n.routeName, Logger: n.logger, Metrics: owner.NewMetrics(n.registry), Recovery: n.recovery,
 		MaxResponseBytes: s.MemoryBytes / memoryPerResponse,
 		AllowResend:      func(ctx context.Context, service string) bool { return n.limiter.TakeRetry(ctx, service, true) },
 		OnChange:         func() { n.fleet.Publish() },
@@ -216,18 +217,12 @@
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstLinkPort))
 }
 
-// coldStart returns the duration of the cold start of a service's backend servers and
-// the rate limit during it.
-func (n *Node) coldStart(service string) (time.Duration, float64) {
-	config := n.fleet.View().Config
-	if config == nil {
-		return 0, 0
+// service returns the configuration of a service; nil if it is unknown.
+func (n *Node) service(name string) *routing.Service {
+	if config := n.fleet.View().Config; config != nil {
+		return config.Service(name)
 	}
-	s := config.Service(service)
-	if s == nil {
-		return 0, 0
-	}
-	return s.ColdStartDuration, s.ColdStartRate
+	return nil
 }
 
 // routeName returns the name of the route that matches a request, or "".
