--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -507,3 +507,21 @@
 	_, _, failure = sendOffer(o, newOffer("b"))
 	require.Nil(t, failure)
 }
+
+// Guards against a heartbeat without a start time that puts a backend server back into service
+// after its departure was acknowledged.
+func TestHeartbeatWithoutStartTimeKeepsDeparture(t *testing.T) {
+	s := newTestBackend(t, respondOK)
+	o := newOwner(t, make(chan int, 1))
+	a := announcement(s)
+	require.NoError(t, o.Announce(a))
+	require.NoError(t, o.Leave(a.ID))
+	a.Sequence, a.StartedAt = 2, time.Time{}
+	require.NoError(t, o.Announce(a))
+	status, known := o.Status()
+	require.True(t, known)
+	require.False(t, status.Serving)
+	_, _, failure := sendOffer(o, newOffer("r1"))
+	require.NotNil(t, failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+}
