--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -241,7 +241,7 @@
 		RequestId: q.id, Service: q.service, Method: q.Method, Target: q.RequestURI, Host: q.Host,
 		Idempotent: q.route.Idempotent, Fields: wire.FieldsFromHeader(header),
 		Fingerprint: q.fingerprint[:], Urgent: q.isOutboundCall(), CallerService: e.cfg.Service,
-		TeamWeight: weightOf(q.route.PriorityFor(q.team)),
+		TeamWeight: weightOf(q.route.PriorityFor(q.team)), ContentLength: int64(len(q.Payload)),
 	}
 	if q.team != nil {
 		q.offer.Team = q.team.Name
--- a/mesh/h1/client.go
+++ b/mesh/h1/client.go
@@ -261,14 +261,13 @@
 
 func (c *Client) roundTrip(ctx context.Context, conn *clientConn, req *UpstreamRequest) (*UpstreamResponse, bool, error) {
 	conn.counter.n = 0
-	message := encodeRequest(req)
+	head := encodeHead(req)
 	written := make(chan error, 1)
-	if len(message) <= maxInlineWriteBytes {
-		_, err := conn.Write(message)
-		written <- err
+	if len(req.Body) <= maxInlineWriteBytes {
+		written <- writeMessage(conn, head, req.Body)
 	} else {
 		// A backend server may respond before it has read a large body.
-		go func() { _, err := conn.Write(message); written <- err }()
+		go func() { written <- writeMessage(conn, head, req.Body) }()
 	}
 	resp, reusable, err := c.readResponse(ctx, conn, req)
 	if err != nil {
@@ -359,9 +358,8 @@
 	return defaultKeepAlive
 }
 
-func encodeRequest(req *UpstreamRequest) []byte {
-	var buf bytes.Buffer
-	buf.Grow(512 + len(req.Body))
+func encodeHead(req *UpstreamRequest) *bytes.Buffer {
+	buf := new(bytes.Buffer)
 	buf.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	for name, values := range req.Header {
 		if isConnectionField(name) {
@@ -375,6 +373,5 @@
 		buf.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	buf.WriteString("\r\n")
-	buf.Write(req.Body)
-	return buf.Bytes()
+	return buf
 }
--- a/mesh/h1/conn.go
+++ b/mesh/h1/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"trefoildock.example/mesh/bodymem"
 )
 
 // pendingResponse is a request whose response is sent after those of earlier requests.
@@ -33,6 +35,9 @@
 	limitedReader *io.LimitedReader
 	br            *bufio.Reader
 	responses     chan *pendingResponse
+	// unreadBytes is the length of a body that was refused in place of being read. Only the
+	// reading goroutine uses it.
+	unreadBytes int64
 	// lastRead is the last request that was read. Only the reading goroutine uses it.
 	lastRead *pendingResponse
 
@@ -166,7 +171,7 @@
 			_ = tcp.CloseWrite() // The peer may have closed the connection.
 		}
 	}()
-	c.limitedReader.N = lingerBytes
+	c.limitedReader.N = max(lingerBytes, c.unreadBytes)
 	if _, err := io.Copy(io.Discard, c.br); err == nil || !isTimeout(err) {
 		c.cancel()
 	}
@@ -238,8 +243,9 @@
 	if r.ContentLength == 0 {
 		return r, nil
 	}
+	c.unreadBytes = max(r.ContentLength, 0)
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
-		return nil, c.server.Refuse(http.StatusRequestEntityTooLarge, "body is larger than the limit")
+		return nil, c.refusalFor(bodymem.ErrTooLarge)
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -249,18 +255,14 @@
 	if limits.IdleTimeout > 0 {
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	}
-	var body io.Reader = r.Body
-	if limits.BodyBytes > 0 {
-		body = io.LimitReader(r.Body, limits.BodyBytes+1)
-	}
-	payload, err := io.ReadAll(body)
+	ctx, cancel := context.WithTimeout(c.ctx, bodyMemoryWait)
+	defer cancel()
+	payload, err := r.Memory.ReadAll(ctx, r.Body, r.ContentLength, limits.BodyBytes)
 	if err != nil {
+		r.Memory.Release()
 		return nil, c.refusalFor(err)
 	}
-	if limits.BodyBytes > 0 && int64(len(payload)) > limits.BodyBytes {
-		return nil, c.server.Refuse(http.StatusRequestEntityTooLarge, "body is larger than the limit")
-	}
-	r.Payload = payload
+	c.unreadBytes, r.Payload = 0, payload
 	return r, nil
 }
 
@@ -268,6 +270,10 @@
 // connection.
 func (c *serverConn) refusalFor(err error) *Response {
 	switch {
+	case errors.Is(err, bodymem.ErrTooLarge):
+		return c.server.Refuse(http.StatusRequestEntityTooLarge, "body is larger than the limit")
+	case errors.Is(err, bodymem.ErrExhausted):
+		return c.server.Refuse(http.StatusServiceUnavailable, "other bodies take the memory of this node")
 	case c.limitedReader.N <= 0:
 		return c.server.Refuse(http.StatusRequestHeaderFieldsTooLarge, "header is larger than the limit")
 	case isTimeout(err):
--- a/mesh/h1/server.go
+++ b/mesh/h1/server.go
@@ -27,8 +27,12 @@
 	// lingerTimeout bounds the time for which a connection is drained after its last
 	// response, so that the caller reads the response before it receives a reset.
 	lingerTimeout = 500 * time.Millisecond
-	// lingerBytes bounds the bytes that are drained.
+	// lingerBytes bounds the bytes that are drained. The rest of a refused body is drained
+	// too, within lingerTimeout.
 	lingerBytes = 256 << 10
+	// bodyMemoryWait bounds the wait for the memory of a large body. Meanwhile the body stays
+	// at the caller.
+	bodyMemoryWait = 2 * time.Second
 )
 
 // Request is a request of a caller with its complete body.
--- a/mesh/owner/request.go
+++ b/mesh/owner/request.go
@@ -65,7 +65,7 @@
 	ctx     context.Context //nolint:containedctx // ends with the request
 	cancel  func()
 	commits chan *wire.Commit
-	body    chan []byte
+	body    chan bodyBuffer
 	// memory holds the bodies of the request and its response.
 	memory    *bodymem.Reservation
 	trial     bool
@@ -87,7 +87,7 @@
 	defer stream.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(offer.GetTimeoutUs())*time.Microsecond)
 	defer cancel()
-	r := &activeRequest{offer: offer, stream: stream, ctx: ctx, cancel: cancel, commits: make(chan *wire.Commit, 1), body: make(chan []byte, 1), memory: o.cfg.Bodies.Reserve()}
+	r := &activeRequest{offer: offer, stream: stream, ctx: ctx, cancel: cancel, commits: make(chan *wire.Commit, 1), body: make(chan bodyBuffer, 1), memory: o.cfg.Bodies.Reserve()}
 	defer r.memory.Release()
 	o.addRunning(1)
 	defer o.addRunning(-1)
@@ -112,7 +112,7 @@
 // the request.
 func (r *activeRequest) readStream() {
 	defer r.cancel()
-	var body []byte
+	var body bodyBuffer
 	for {
 		e, err := r.stream.Recv()
 		if err != nil {
@@ -124,8 +124,9 @@
 			case r.commits <- m.Commit:
 			default:
 			}
+			body.allocate(r, m.Commit.GetDetails().GetContentLength())
 		case *wire.Envelope_Chunk:
-			body = append(body, m.Chunk.GetData()...)
+			body.add(m.Chunk.GetData())
 			if m.Chunk.GetLast() {
 				select {
 				case r.body <- body:
@@ -318,7 +319,7 @@
 func (r *activeRequest) awaitBody() ([]byte, error) {
 	select {
 	case body := <-r.body:
-		return body, nil
+		return body.data, body.err
 	case <-r.ctx.Done():
 		return nil, refusalFrom(r.ctx.Err())
 	}
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -260,6 +260,9 @@
 
 // refuse returns the response to a request that exceeds a limit.
 func refuse(status int, reason string) *h1.Response {
+	if status == http.StatusServiceUnavailable {
+		return entry.ErrorResponse(owner.NoMemoryError(nil))
+	}
 	return entry.ErrorResponse(&verdict.Error{Verdict: verdict.NotRun, Status: status, Code: "bad-request", Detail: reason})
 }
 
