--- a/mesh/process/sockets.go
+++ b/mesh/process/sockets.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
+	"trefoildock.example/link"
 	"trefoildock.example/platform"
 )
 
@@ -90,8 +91,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s on %s", purpose, address)
 	}
-	n.listeners = append(n.listeners, ln)
-	return ln, nil
+	retrying := &link.RetryListener{Listener: ln, OnError: func(err error) {
+		n.logger.Log("event", "connection not accepted", "purpose", purpose, "err", err)
+	}}
+	n.listeners = append(n.listeners, retrying)
+	return retrying, nil
 }
 
 func (n *Node) serveHTTP(ln net.Listener, h http.Handler) *http.Server {
