--- a/node/dispatch_test.go
+++ b/node/dispatch_test.go
@@ -239,13 +239,20 @@
 // TestHedge checks that the canceled attempt of a hedged request releases its
 // slot, and that a non-idempotent request is not hedged.
 func TestHedge(t *testing.T) {
-	canceled := make(chan struct{}, 10)
+	begun, canceled := make(chan struct{}, 10), make(chan struct{}, 10)
 	slow := newHandlerBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		canceled <- struct{}{}
 	})
-	fast := newRawBackend(t, respondWith("Content-Length: 100000\r\n", strings.Repeat("x", 100_000), true))
+	respond := respondWith("Content-Length: 100000\r\n", strings.Repeat("x", 100_000), true)
+	fast := newRawBackend(t, func(w io.Writer, r *http.Request, n int64) bool {
+		if strings.HasPrefix(r.URL.Path, "/shop/") {
+			<-begun // Otherwise the other attempt could be canceled before its backend server gets it.
+		}
+		return respond(w, r, n)
+	})
 	f := newFleet(t, slow, fast.address)
 	f.entry.forwarder.hedgeAfter = 10 * time.Millisecond
 	c := client(t, false)
