--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -233,6 +233,12 @@
 		return errors.Newf("start time of %q is ahead of this node's clock", a.ID)
 	}
 	o.mu.Lock()
+	if o.displacesWithUnknownService(a) {
+		current := o.backend.announcement
+		o.mu.Unlock()
+		o.cfg.Logger.Log("event", "heartbeat refused", "backend", a.ID, "service", a.Service, "current", current.ID)
+		return errors.Newf("service %.40q of %q is not in the configuration, that of the current backend server is", a.Service, a.ID)
+	}
 	changed := o.applyHeartbeat(time.Now(), a)
 	o.mu.Unlock()
 	if changed {
@@ -243,6 +249,14 @@
 	return nil
 }
 
+// displacesWithUnknownService reports whether a heartbeat for a service that the configuration
+// does not contain would replace a backend server of a service that it contains. o.mu is held.
+func (o *Owner) displacesWithUnknownService(a platform.Announcement) bool {
+	b := o.backend
+	return b != nil && !b.leaving && !b.announcement.Draining && b.announcement.Service != a.Service &&
+		o.cfg.Service(b.announcement.Service) != nil && o.cfg.Service(a.Service) == nil
+}
+
 func (o *Owner) applyHeartbeat(now time.Time, a platform.Announcement) (changed bool) {
 	b := o.backend
 	if b != nil && !sameIncarnation(b.announcement, a) {
--- a/mesh/owner/owner_test.go
+++ b/mesh/owner/owner_test.go
@@ -525,3 +525,25 @@
 	require.NotNil(t, failure)
 	require.Equal(t, verdict.NotRun, failure.Verdict)
 }
+
+// Guards against a heartbeat for a service that does not exist, which replaces the backend server
+// of the VM, whose own heartbeats are then ignored as late.
+func TestHeartbeatForUnknownServiceKeepsBackendServer(t *testing.T) {
+	s := newTestBackend(t, respondOK)
+	o := newOwner(t, make(chan int, 1))
+	o.cfg.Service = func(name string) *routing.Service {
+		if name == "orders" {
+			return &routing.Service{}
+		}
+		return nil
+	}
+	a := announcement(s)
+	require.NoError(t, o.Announce(a))
+	odd := a
+	odd.Service, odd.StartedAt = "unknown", a.StartedAt.Add(time.Second)
+	require.Error(t, o.Announce(odd))
+	a.Sequence = 2
+	require.NoError(t, o.Announce(a))
+	_, _, failure := sendOffer(o, newOffer("r1"))
+	require.Nil(t, failure)
+}
