--- a/mesh/process/departure_test.go
+++ b/mesh/process/departure_test.go
@@ -37,10 +37,10 @@
 	c.store.ServeHTTP(w, r)
 }
 
-// storedBackend returns the backend server in the row of a node, or nil.
-func storedBackend(t *testing.T, store *rowstore.Store, node string) *fleet.Backend {
+// storedBackend returns the backend server in the row of node a, or nil.
+func storedBackend(t *testing.T, store *rowstore.Store) *fleet.Backend {
 	t.Helper()
-	value, ok := store.Value(memberTable, "member/"+node)
+	value, ok := store.Value(memberTable, "member/a")
 	if !ok {
 		return nil
 	}
@@ -71,9 +71,9 @@
 		t.Run(name, func(t *testing.T) {
 			store := &controlledWrites{store: rowstore.New(), delay: 200 * time.Millisecond}
 			n := startNode(t, "a", store)
-			require.Eventually(t, func() bool { return storedBackend(t, store.store, "a") != nil }, waitTimeout, 5*time.Millisecond)
+			require.Eventually(t, func() bool { return storedBackend(t, store.store) != nil }, waitTimeout, 5*time.Millisecond)
 			require.Equal(t, http.StatusOK, announceDeparture(t, n, d.method, d.body))
-			require.True(t, storedBackend(t, store.store, "a").Leaving)
+			require.True(t, storedBackend(t, store.store).Leaving)
 		})
 	}
 }
@@ -85,7 +85,7 @@
 		t.Run(name, func(t *testing.T) {
 			store := &controlledWrites{store: rowstore.New()}
 			n := startNode(t, "a", store)
-			require.Eventually(t, func() bool { return storedBackend(t, store.store, "a") != nil }, waitTimeout, 5*time.Millisecond)
+			require.Eventually(t, func() bool { return storedBackend(t, store.store) != nil }, waitTimeout, 5*time.Millisecond)
 			store.refused.Store(true)
 			started := time.Now()
 			require.Equal(t, http.StatusServiceUnavailable, announceDeparture(t, n, d.method, d.body))
@@ -95,7 +95,7 @@
 			require.False(t, s.Serving)
 			store.refused.Store(false)
 			require.Equal(t, http.StatusOK, announceDeparture(t, n, d.method, d.body))
-			require.True(t, storedBackend(t, store.store, "a").Leaving)
+			require.True(t, storedBackend(t, store.store).Leaving)
 		})
 	}
 }
@@ -110,7 +110,7 @@
 	t.Cleanup(srv.CloseClientConnections)
 	n := runNodeWithoutBackend(t, "a", srv.URL)
 	require.Equal(t, http.StatusOK, announceDeparture(t, n, http.MethodDelete, ""))
-	require.True(t, storedBackend(t, store, "a").Leaving)
+	require.True(t, storedBackend(t, store).Leaving)
 	require.NoError(t, n.Announce(t.Context(), heartbeatOf("a", 2)))
 	s, known := n.owner.Status()
 	require.True(t, known)
