--- a/mesh/process/departure_test.go
+++ b/mesh/process/departure_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,25 +17,6 @@
 	"trefoildock.example/standin/rowstore"
 )
 
-// controlledWrites delays the writes to a store, or refuses them.
-type controlledWrites struct {
-	store   *rowstore.Store
-	delay   time.Duration
-	refused atomic.Bool
-}
-
-// ServeHTTP implements http.Handler.
-func (c *controlledWrites) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost {
-		time.Sleep(c.delay)
-		if c.refused.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-	}
-	c.store.ServeHTTP(w, r)
-}
-
 // storedBackend returns the backend server in the row of node a, or nil.
 func storedBackend(t *testing.T, store *rowstore.Store) *fleet.Backend {
 	t.Helper()
@@ -69,11 +49,12 @@
 func TestDepartureIsStoredBeforeItIsAcknowledged(t *testing.T) {
 	for name, d := range departures {
 		t.Run(name, func(t *testing.T) {
-			store := &controlledWrites{store: rowstore.New(), delay: 200 * time.Millisecond}
+			rows := rowstore.New()
+			store := &controlledWrites{store: rows, delay: 200 * time.Millisecond}
 			n := startNode(t, "a", store)
-			require.Eventually(t, func() bool { return storedBackend(t, store.store) != nil }, waitTimeout, 5*time.Millisecond)
+			require.Eventually(t, func() bool { return storedBackend(t, rows) != nil }, waitTimeout, 5*time.Millisecond)
 			require.Equal(t, http.StatusOK, announceDeparture(t, n, d.method, d.body))
-			require.True(t, storedBackend(t, store.store).Leaving)
+			require.True(t, storedBackend(t, rows).Leaving)
 		})
 	}
 }
@@ -83,9 +64,10 @@
 func TestDepartureIsNotAcknowledgedWithoutTheStore(t *testing.T) {
 	for name, d := range departures {
 		t.Run(name, func(t *testing.T) {
-			store := &controlledWrites{store: rowstore.New()}
+			rows := rowstore.New()
+			store := &controlledWrites{store: rows}
 			n := startNode(t, "a", store)
-			require.Eventually(t, func() bool { return storedBackend(t, store.store) != nil }, waitTimeout, 5*time.Millisecond)
+			require.Eventually(t, func() bool { return storedBackend(t, rows) != nil }, waitTimeout, 5*time.Millisecond)
 			store.refused.Store(true)
 			started := time.Now()
 			require.Equal(t, http.StatusServiceUnavailable, announceDeparture(t, n, d.method, d.body))
@@ -95,7 +77,7 @@
 			require.False(t, s.Serving)
 			store.refused.Store(false)
 			require.Equal(t, http.StatusOK, announceDeparture(t, n, d.method, d.body))
-			require.True(t, storedBackend(t, store.store).Leaving)
+			require.True(t, storedBackend(t, rows).Leaving)
 		})
 	}
 }
@@ -108,7 +90,7 @@
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
 	t.Cleanup(srv.CloseClientConnections)
-	n := runNodeWithoutBackend(t, "a", srv.URL)
+	n := runNode(t, "a", srv.URL, "127.0.0.1:1", nodeOptions{}).Node
 	require.Equal(t, http.StatusOK, announceDeparture(t, n, http.MethodDelete, ""))
 	require.True(t, storedBackend(t, store).Leaving)
 	require.NoError(t, n.Announce(t.Context(), heartbeatOf("a", 2)))
--- a/mesh/process/relay_test.go
+++ b/mesh/process/relay_test.go
@@ -39,8 +39,7 @@
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
 	t.Cleanup(srv.CloseClientConnections)
-	n, _, _ := startServingNode(t, name, srv.URL, "http://127.0.0.1:1")
-	return n
+	return startServingNode(t, name, srv.URL, "http://127.0.0.1:1", nodeOptions{}).Node
 }
 
 // readOnlyStore is a store that rejects the writes of one node.
