--- a/cmd/trefoildock/metrics_page_test.go
+++ b/cmd/trefoildock/metrics_page_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoildock.example/configstore"
+	"trefoildock.example/mesh/bodymem"
 	"trefoildock.example/mesh/entry"
 	"trefoildock.example/mesh/fleet"
 	"trefoildock.example/mesh/owner"
@@ -49,6 +50,7 @@
 	owner.NewMetrics(registry)
 	fleet.NewMetrics(registry)
 	recovery.New(log.NewNopLogger(), registry)
+	bodymem.New(0).Register(registry)
 	registered := []string{"trefoildock_store_malformed"}
 	registry.Each(func(name string, _ any) {
 		registered = append(registered, "trefoildock_"+strings.ReplaceAll(name, ".", "_"))
--- a/mesh/bodymem/bodymem.go
+++ b/mesh/bodymem/bodymem.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	metrics "github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -46,6 +47,11 @@
 // New returns a Budget of a number of bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Register registers the gauge of the reserved bytes.
+func (b *Budget) Register(r metrics.Registry) {
+	metrics.NewRegisteredFunctionalGauge("process.body_bytes", r, b.Used)
+}
+
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() int64 {
 	if b == nil {
--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -363,7 +363,7 @@
 	}
 	o.mu.Unlock()
 	if takenOver {
-		o.cfg.Logger.Log("event", "backend server taken over from the earlier process", "backend", a.ID)
+		o.cfg.Logger.Log("event", "backend server taken over from the earlier process", "backend", a.ID, "adopted", true)
 		o.cfg.OnChange()
 	}
 }
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -176,7 +176,7 @@
 	if s.MemoryBytes > 0 {
 		n.bodies = bodymem.New(int64(bodyMemoryShare * float64(s.MemoryBytes)))
 	}
-	metrics.NewRegisteredFunctionalGauge("process.body_bytes", n.registry, n.bodies.Used)
+	n.bodies.Register(n.registry)
 	identity := link.Identity{Node: s.Node, Incarnation: n.incarnation, Cluster: cluster}
 	n.links = &link.Pool{Identity: identity, AllowPlaintext: true, DisableKeepAlive: true, Dial: dialPeer}
 	n.linkServer = &link.Server{
