TestPlannedStopAnswersWaitingRequests sends once the stop has closed idle connections

The test failed once beside another test package (request waiting0, the first one). The test now waits until a connection without a request is closed. What it checks is unchanged.

--- a/mesh/process/stop_test.go
+++ b/mesh/process/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -62,9 +64,17 @@
 	}
 	require.Eventually(t, func() bool { return a.owner.Running() > 0 && b.owner.Running() > 0 }, waitTimeout, 5*time.Millisecond)
 
+	idle, err := net.Dial("tcp", callers)
+	require.NoError(t, err)
+	defer idle.Close()
+	require.Eventually(t, func() bool { return a.callerServer.Connections() == 3 }, waitTimeout, time.Millisecond)
 	answered := newExecutions()
 	stopping := time.Now()
 	go stop()
+	// A stop closes the connections without a request at its start, which a request can cross.
+	_ = idle.SetReadDeadline(time.Now().Add(waitTimeout))
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
 	var ids []string
 	for time.Since(stopping) < acceptedFor {
 		id := fmt.Sprint("waiting", len(ids))
