--- a/mesh/owner/owner.go
+++ b/mesh/owner/owner.go
@@ -171,16 +171,12 @@
 	if b == nil || b.takeoverExpired(now) {
 		return Status{}, false
 	}
-	return o.statusOf(b, now), true
-}
-
-func (o *Owner) statusOf(b *backend, now time.Time) Status {
 	a := b.announcement
 	return Status{
 		Reachable: !now.Before(b.backoffUntil) && now.Sub(b.lastHeartbeat) < 2*o.cfg.Heartbeat,
 		ID:        a.ID, Service: a.Service, Slots: a.Slots, StartedAt: a.StartedAt,
 		Serving: !b.leaving && !a.Draining, Leaving: b.leaving || a.Draining,
-	}
+	}, true
 }
 
 // Departed returns the state of a backend server that has left, while no other one is
--- a/mesh/process/backend.go
+++ b/mesh/process/backend.go
@@ -26,13 +26,11 @@
 // Within firstHeartbeatTimeout of the start it returns false until a heartbeat or a
 // departure is received, so that the row of the earlier process stays.
 func (n *Node) publishedBackend() (*fleet.Backend, bool) {
-	s, serving := n.owner.Status()
-	if !serving {
-		departed, ok := n.owner.Departed()
-		if !ok {
+	s, known := n.owner.Status()
+	if !known {
+		if s, known = n.owner.Departed(); !known {
 			return nil, time.Since(n.startedAt) > firstHeartbeatTimeout
 		}
-		s = departed
 		s.Service = n.settings.BackendService
 	}
 	b := &fleet.Backend{
